Run a request from end to end through separate processes

Cause: the project starts empty. Change: workspace, crates and programs of the design, each thin: configuration in the store, heartbeats, static split of rates, consecutive-error avoidance, two random choices, hyper on both sides, demo script. Conclusion: the frame holds; avoidance, limits and freshness are still baselines.

--- /dev/null
+++ b/bins/pomelo-server/src/announce.rs
@@ -0,0 +1,47 @@
+//! Announces the server at a daemon and renews the announcement.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+
+use crate::serve::State;
+use crate::settings::Settings;
+
+/// Interval between announcements.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Announces until the process ends; turns to the next daemon when one does not answer.
+pub async fn keep(settings: Settings, addr: SocketAddr, state: Arc<State>) {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let mut turn = 0;
+    while !settings.daemons.is_empty() {
+        let daemon = settings.daemons[turn % settings.daemons.len()];
+        let draining = state.mode().draining;
+        let body = json!({
+            "service": settings.service,
+            "addr": addr,
+            "place": { "region": settings.region, "data_centre": settings.data_centre },
+            "slots": settings.slots,
+            "connections": 400,
+            "load": state.load(),
+            "state": if draining { "draining" } else { "ready" },
+        });
+        let req = Request::builder()
+            .method(Method::PUT)
+            .uri(format!("http://{daemon}/v1/servers/{}", settings.id))
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("a valid request");
+        let answer = tokio::time::timeout(INTERVAL, client.request(req)).await;
+        if !matches!(answer, Ok(Ok(rep)) if rep.status().is_success()) {
+            turn += 1;
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/bins/pomelo-server/src/settings.rs
@@ -0,0 +1,72 @@
+//! Settings from flags.
+
+use std::net::SocketAddr;
+
+use pico_args::{Arguments, Error};
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+pomelo-server: stand-in backend server
+
+Usage: pomelo-server --id NAME --service NAME --region NAME --data-centre NAME --daemon ADDR [FLAGS]
+
+  --listen ADDR        address for requests                       [default: 127.0.0.1:0]
+  --daemon ADDR        operator API of a daemon to announce to; repeatable, the next is used when one fails
+  --slots N            requests that run at the same time         [default: 6]
+  --work-ms N          time that a request takes in a slot        [default: 5]
+
+PUT /_mode with a JSON object switches gray modes; GET /_ledger lists the orders that ran.";
+
+/// Settings of the server.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address for requests.
+    pub listen: SocketAddr,
+    /// Name.
+    pub id: Box<str>,
+    /// Service.
+    pub service: Box<str>,
+    /// Region.
+    pub region: Box<str>,
+    /// Data centre.
+    pub data_centre: Box<str>,
+    /// Daemons to announce to.
+    pub daemons: Vec<SocketAddr>,
+    /// Slots.
+    pub slots: u32,
+    /// Milliseconds of work for a request.
+    pub work_ms: u64,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Action {
+    /// Serve.
+    Run(Settings),
+    /// Print the help.
+    Help,
+}
+
+/// Reads the flags.
+///
+/// # Errors
+/// Fails when a flag is missing or can't be used.
+pub fn read() -> Result<Action, Error> {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        return Ok(Action::Help);
+    }
+    let text = |args: &mut Arguments, flag| args.value_from_str::<_, String>(flag).map(Box::from);
+    Ok(Action::Run(Settings {
+        listen: args
+            .opt_value_from_str("--listen")?
+            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))),
+        id: text(&mut args, "--id")?,
+        service: text(&mut args, "--service")?,
+        region: text(&mut args, "--region")?,
+        data_centre: text(&mut args, "--data-centre")?,
+        daemons: args.values_from_str("--daemon")?,
+        slots: args.opt_value_from_str("--slots")?.unwrap_or(6),
+        work_ms: args.opt_value_from_str("--work-ms")?.unwrap_or(5),
+    }))
+}
--- /dev/null
+++ b/bins/pomelod/src/api.rs
@@ -0,0 +1,83 @@
+//! HTTP for operators and backend servers, and the metrics page.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use kernel::{ApiRep, ApiReq};
+use prometheus::{Registry, TextEncoder};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::control::ApiCall;
+
+/// Largest body on the operator API, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Serves the operator API.
+pub async fn listen(listener: TcpListener, calls: mpsc::Sender<ApiCall>, registry: Registry) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let calls = calls.clone();
+        let registry = registry.clone();
+        let service = service_fn(move |req| {
+            let calls = calls.clone();
+            let registry = registry.clone();
+            async move { Ok::<_, Infallible>(answer(req, calls, registry).await) }
+        });
+        let conn = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(conn);
+    }
+}
+
+async fn answer(
+    req: Request<Incoming>,
+    calls: mpsc::Sender<ApiCall>,
+    registry: Registry,
+) -> Response<Full<Bytes>> {
+    if req.uri().path() == "/metrics" {
+        let text = TextEncoder::new()
+            .encode_to_string(&registry.gather())
+            .unwrap_or_default();
+        return Response::new(Full::new(text.into()));
+    }
+    let rep = ask(req, calls).await;
+    let body = Full::new(Bytes::from(rep.body.to_string()));
+    let mut answer = Response::new(body);
+    *answer.status_mut() = StatusCode::from_u16(rep.status).unwrap_or_default();
+    answer.headers_mut().insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    answer
+}
+
+async fn ask(req: Request<Incoming>, calls: mpsc::Sender<ApiCall>) -> ApiRep {
+    let (parts, body) = req.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return ApiRep::error(
+            413,
+            "too-large",
+            "the body is too large or broke off",
+            "send at most 64 MiB",
+        );
+    };
+    let req = ApiReq {
+        method: parts.method.as_str().into(),
+        path: parts.uri.path().into(),
+        query: parts.uri.query().unwrap_or("").into(),
+        body: body.to_bytes().to_vec(),
+    };
+    let (reply, answer) = oneshot::channel();
+    let gone = || ApiRep::error(503, "stopping", "the daemon is stopping", "ask another daemon");
+    if calls.send(ApiCall { req, reply }).await.is_err() {
+        return gone();
+    }
+    answer.await.unwrap_or_else(|_| gone())
+}
--- /dev/null
+++ b/crates/base/src/event.rs
@@ -0,0 +1,76 @@
+//! Catalogue of numbered log events; `docs/EVENTS.md` is checked against it by a test.
+
+macro_rules! events {
+    ($( $number:literal $name:ident $text:literal; )*) => {
+        /// A numbered log event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event { $( #[doc = $text] $name, )* }
+
+        impl Event {
+            /// The whole catalogue in the order of the numbers.
+            pub const ALL: &'static [Event] = &[$( Event::$name, )*];
+
+            /// Number of the event; numbers are never given to another event.
+            pub const fn number(self) -> u16 {
+                match self { $( Event::$name => $number, )* }
+            }
+
+            /// What the event means.
+            pub const fn text(self) -> &'static str {
+                match self { $( Event::$name => $text, )* }
+            }
+        }
+    };
+}
+
+events! {
+    101 DaemonStarted "The daemon started and listens.";
+    102 DaemonStopping "The daemon received a stop signal and takes no new work.";
+    103 DaemonStopped "All accepted work is finished and the daemon exits.";
+    104 SettingRefused "A flag or environment variable has a value that can't be used.";
+    201 MemberUp "A daemon joined or came back.";
+    202 MemberSuspect "A daemon did not answer direct and indirect probes.";
+    203 MemberDown "A daemon is considered gone.";
+    204 MemberLeft "A daemon left gracefully.";
+    205 DatagramRefused "A datagram was malformed, too large or not authenticated.";
+    206 ViewCurrent "The daemon's view of keys and configuration is current.";
+    207 ViewStale "The daemon can't confirm that its view is current.";
+    301 StoreUp "The store answers again.";
+    302 StoreDown "The store does not answer.";
+    303 StoreAmbiguous "The answer of a write was lost; its effect is being resolved.";
+    401 ConfigApplied "A new configuration version is in force in this daemon.";
+    402 ConfigRefused "A configuration was refused by validation.";
+    403 ConfigConflict "Two operators changed the configuration at the same time.";
+    404 ConfigCommitted "A configuration change was committed.";
+    405 KeyWithdrawn "A key was withdrawn.";
+    406 KeyWithdrawalStored "A withdrawal taken while the store was down is now stored.";
+    501 SharesChanged "The holders of rate shares changed.";
+    502 SharesUnsettled "A change of holders waits for acknowledgements.";
+    503 SharesStopped "The daemon may not spend its shares until it has confirmed them.";
+    504 DelegationMoved "Delegated rate moved between regions.";
+    601 ServerAnnounced "A backend server announced itself.";
+    602 ServerLeaving "A backend server drains or its announcement lapsed.";
+    603 ServerEjected "A backend server was ejected.";
+    604 ServerTrial "An ejected backend server gets trial requests.";
+    605 ServerReturned "A backend server takes its full share again.";
+    606 FloorReached "An ejection was held back because of the service's floor.";
+    607 ServerAvoided "This daemon avoids a backend server on its own evidence.";
+    701 RequestRefused "A request was refused.";
+    702 RequestRetried "A request was sent to another server.";
+    703 ConnectionSilent "A connection to a server made no progress and was closed.";
+    704 CallerGone "The caller closed the connection before its answer was complete.";
+}
+
+/// Logs an event with its number: `event!(Info, ConfigApplied, "version={}", 7)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $event:ident, $($arg:tt)+) => {
+        $crate::event::write(::log::Level::$level, $crate::Event::$event, format_args!($($arg)+))
+    };
+}
+
+/// Writes one event to the log; use the [`event!`](crate::event!) macro instead.
+#[doc(hidden)]
+pub fn write(level: log::Level, event: Event, args: std::fmt::Arguments<'_>) {
+    log::log!(target: "pomelopath", level, "E{:04} {event:?} {args}", event.number());
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,21 @@
+//! Vocabulary shared by every crate: ids, refusal and retry reasons, numbered events.
+//!
+//! ```
+//! use base::{Refusal, Run};
+//!
+//! let refusal = Refusal::OverRate;
+//! assert_eq!(refusal.status(), 429);
+//! assert_eq!(refusal.run(), Run::No);
+//! ```
+
+pub mod event;
+pub mod id;
+pub mod refusal;
+pub mod retry;
+
+pub use event::Event;
+pub use id::{
+    ChangeId, CustomerId, DaemonId, DataCentre, Place, Region, RouteId, ServerId, ServiceId, Version,
+};
+pub use refusal::{Refusal, Run};
+pub use retry::RetryReason;
--- /dev/null
+++ b/crates/base/src/retry.rs
@@ -0,0 +1,34 @@
+//! Reasons for which a daemon sends a request to a second server.
+
+macro_rules! retries {
+    ($( $(#[$doc:meta])* $name:ident $code:literal; )*) => {
+        /// Why a try was followed by another.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum RetryReason { $( $(#[$doc])* $name, )* }
+
+        impl RetryReason {
+            /// All reasons, in the order of their declaration.
+            pub const ALL: &'static [RetryReason] = &[$( RetryReason::$name, )*];
+
+            /// Stable name used in metrics and logs.
+            pub const fn code(self) -> &'static str {
+                match self { $( RetryReason::$name => $code, )* }
+            }
+        }
+    };
+}
+
+retries! {
+    /// The connection could not be opened; the request did not run.
+    Connect "connect";
+    /// The server shed the request and said so; the request did not run.
+    Shed "shed";
+    /// The server answered with a server error.
+    ServerError "server-error";
+    /// The connection broke before the whole answer came.
+    Broken "broken";
+    /// The connection made no progress before its deadline.
+    Silent "silent";
+    /// The answer was for another request or cut short.
+    BadAnswer "bad-answer";
+}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,32 @@
+//! Operators' configuration: source format, templates, validation and the compiled snapshot.
+//!
+//! An operator's [`source::Source`] is parsed from TOML, its templates are rendered for each customer,
+//! and the whole is validated and compiled into a [`Snapshot`] that traffic reads without locks.
+//!
+//! ```
+//! let text = r#"
+//! [[service]]
+//! name = "sacristia"
+//!
+//! [[route]]
+//! name = "stock"
+//! prefix = "/stock"
+//! service = "sacristia"
+//! open = true
+//! "#;
+//! let source = conf::source::parse("fleet.toml", text).unwrap();
+//! let snapshot = conf::compile(&source, 1).unwrap();
+//! assert!(snapshot.match_route(None, "/stock/cirios", "GET").is_some());
+//! ```
+
+pub mod compile;
+pub mod error;
+pub mod key;
+pub mod render;
+pub mod snapshot;
+pub mod source;
+
+pub use compile::compile;
+pub use error::ConfError;
+pub use key::{KeyHash, KeyHasher};
+pub use snapshot::{Customer, Dedupe, Fleet, Key, Repeat, Route, Service, Snapshot, StaleKeys};
--- /dev/null
+++ b/crates/conf/src/source.rs
@@ -0,0 +1,196 @@
+//! The operators' format: TOML with services, templates, customers, routes and keys.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::ConfError;
+use crate::snapshot::{Dedupe, Fleet, Repeat};
+
+/// A whole configuration as operators write it. Field order is the order of the file's sections.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Source {
+    /// Settings of the whole fleet.
+    pub fleet: Fleet,
+    /// Services.
+    pub service: Vec<ServiceSource>,
+    /// Templates of routes for customers.
+    pub template: Vec<Template>,
+    /// Customers.
+    pub customer: Vec<CustomerSource>,
+    /// Routes that belong to no template.
+    pub route: Vec<RouteSource>,
+    /// Keys, as hashes.
+    pub key: Vec<KeySource>,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSource {
+    /// Name.
+    pub name: Box<str>,
+    /// Share of servers that ejection must leave, 0 to 1.
+    #[serde(default = "default_floor")]
+    pub floor: f64,
+    /// Whether requests may go to another region.
+    #[serde(default = "default_true")]
+    pub cross_region: bool,
+    /// Requests that may wait in one daemon.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+}
+
+/// A template: typed parameters and a body that renders to `[[route]]` tables.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Template {
+    /// Name.
+    pub name: Box<str>,
+    /// Parameters by name.
+    #[serde(default)]
+    pub params: BTreeMap<Box<str>, Param>,
+    /// Template text.
+    pub body: Box<str>,
+}
+
+/// A parameter of a template.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Param {
+    /// Type of the value.
+    #[serde(rename = "type")]
+    pub kind: ParamKind,
+    /// Value when the customer gives none; without it the parameter is required.
+    #[serde(default)]
+    pub default: Option<toml::Value>,
+    /// Smallest number, or shortest text.
+    #[serde(default)]
+    pub min: Option<f64>,
+    /// Largest number, or longest text.
+    #[serde(default)]
+    pub max: Option<f64>,
+}
+
+/// Type of a parameter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ParamKind {
+    /// Text, e.g. `"cirios"`.
+    Text,
+    /// Number, e.g. `2.5`.
+    Number,
+    /// Truth value, e.g. `true`.
+    Flag,
+}
+
+/// A customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerSource {
+    /// Name.
+    pub name: Box<str>,
+    /// Tokens a second over the fleet.
+    pub rate: f64,
+    /// Tokens at once over the fleet.
+    pub burst: f64,
+    /// Template for its routes.
+    #[serde(default)]
+    pub template: Option<Box<str>>,
+    /// Values of the template's parameters.
+    #[serde(default)]
+    pub params: BTreeMap<Box<str>, toml::Value>,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSource {
+    /// Name.
+    pub name: Box<str>,
+    /// Host, or any.
+    #[serde(default)]
+    pub host: Option<Box<str>>,
+    /// Path prefix.
+    pub prefix: Box<str>,
+    /// Methods; empty for all.
+    #[serde(default)]
+    pub methods: Vec<Box<str>>,
+    /// Service.
+    pub service: Box<str>,
+    /// Owning customer.
+    #[serde(default)]
+    pub customer: Option<Box<str>>,
+    /// Open to all.
+    #[serde(default)]
+    pub open: bool,
+    /// Which requests may run more than once.
+    #[serde(default)]
+    pub repeatable: Repeat,
+    /// Time for a whole request, in milliseconds.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u64,
+    /// Handling of Idempotency-Keys.
+    #[serde(default)]
+    pub dedupe: Dedupe,
+    /// Tokens that one request takes.
+    #[serde(default = "default_cost")]
+    pub cost: u32,
+}
+
+/// A key as kept by the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeySource {
+    /// Name under which operators withdraw it.
+    pub name: Box<str>,
+    /// Hexadecimal keyed hash of the secret.
+    pub hash: Box<str>,
+    /// Customer.
+    pub customer: Box<str>,
+    /// Seconds since the epoch after which the key is refused.
+    #[serde(default)]
+    pub expires: Option<u64>,
+}
+
+fn default_floor() -> f64 {
+    0.6
+}
+
+fn default_true() -> bool {
+    true
+}
+
+fn default_queue() -> u32 {
+    1_000
+}
+
+fn default_timeout_ms() -> u64 {
+    10_000
+}
+
+fn default_cost() -> u32 {
+    1
+}
+
+/// Parses an operator's file.
+///
+/// # Errors
+/// Fails on syntax errors, unknown fields and wrong types, with the line.
+pub fn parse(file: &str, text: &str) -> Result<Source, ConfError> {
+    toml::from_str(text).map_err(|e| toml_error(file, text, &e))
+}
+
+/// Turns a TOML error into one with file, line and remedy.
+pub(crate) fn toml_error(file: &str, text: &str, error: &toml::de::Error) -> ConfError {
+    let line = error
+        .span()
+        .map(|s| text[..s.start.min(text.len())].lines().count().max(1) as u32);
+    let problem = error.message().replace('\n', " ");
+    let remedy = "correct the file as docs/OPERATING.md describes";
+    ConfError {
+        line,
+        ..ConfError::new(file, "syntax", problem, remedy)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/refuse.rs
@@ -0,0 +1,49 @@
+//! Answers of the daemon itself.
+
+use std::time::Duration;
+
+use base::Refusal;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use serde_json::json;
+
+/// Body of every answer to a caller.
+pub type AnswerBody = BoxBody<Bytes, AnswerError>;
+
+/// Why a streamed answer ended short; the caller's connection is broken visibly.
+pub type AnswerError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Header that says whether a refused request may have run: `no` or `unknown`.
+pub const RUN_HEADER: &str = "x-pomelo-run";
+/// Header that names the reason of a refusal.
+pub const REASON_HEADER: &str = "x-pomelo-reason";
+
+/// Makes the answer for a refusal.
+pub fn response(refusal: Refusal, retry_after: Option<Duration>) -> Response<AnswerBody> {
+    let body = json!({
+        "error": refusal.code(),
+        "run": refusal.run().to_string(),
+        "remedy": refusal.remedy(),
+    });
+    let body = Full::new(Bytes::from(body.to_string()))
+        .map_err(|never| match never {})
+        .boxed();
+    let mut rep = Response::new(body);
+    *rep.status_mut() = hyper::StatusCode::from_u16(refusal.status()).unwrap_or_default();
+    let headers = rep.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(REASON_HEADER, HeaderValue::from_static(refusal.code()));
+    let run = if refusal.run() == base::Run::No {
+        "no"
+    } else {
+        "unknown"
+    };
+    headers.insert(RUN_HEADER, HeaderValue::from_static(run));
+    if let Some(wait) = retry_after {
+        let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    rep
+}
--- /dev/null
+++ b/crates/kernel/src/board.rs
@@ -0,0 +1,150 @@
+//! What areas tell each other: facts that one area writes and all areas and traffic read.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use base::{DaemonId, Place, ServerId, Version};
+use conf::{KeyHash, Snapshot};
+use wire::member::MemberState;
+use wire::server::ServerInfo;
+
+/// This daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Me {
+    /// Peer address.
+    pub id: DaemonId,
+    /// Address of the operator API.
+    pub api: DaemonId,
+    /// Where it stands.
+    pub place: Place,
+    /// Start of the process in milliseconds since the epoch.
+    pub incarnation: u64,
+}
+
+impl Me {
+    /// Makes the description of this daemon.
+    pub fn new(id: DaemonId, api: DaemonId, region: &str, data_centre: &str, incarnation: u64) -> Self {
+        Self {
+            id,
+            api,
+            place: Place::new(region, data_centre),
+            incarnation,
+        }
+    }
+}
+
+/// Another daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Peer address.
+    pub id: DaemonId,
+    /// Address of the operator API.
+    pub api: DaemonId,
+    /// Where it stands.
+    pub place: Place,
+    /// Start of its process.
+    pub incarnation: u64,
+    /// Believed state.
+    pub state: MemberState,
+    /// Whether the store does not answer it, as of its last word.
+    pub store_down: bool,
+    /// Configuration version in force there, as of its last word.
+    pub version: Version,
+}
+
+impl Member {
+    /// Whether the member is believed to work.
+    pub fn is_alive(&self) -> bool {
+        matches!(self.state, MemberState::Alive | MemberState::Suspect)
+    }
+}
+
+/// An announced backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// Last announcement.
+    pub info: ServerInfo,
+    /// When the announcement lapses.
+    pub lapses: Instant,
+    /// When the server was first seen ready; the cold-start ramp counts from here.
+    pub ready_since: Option<Instant>,
+}
+
+/// What health says about a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// Share of its normal work, 0 to 1. 0 only by the coordinator's list, or when it leaves.
+    pub weight: f32,
+    /// Whether it may get repeatable trial requests.
+    pub trial: bool,
+    /// When the verdict lapses; the server then counts as never judged.
+    pub lapses: Instant,
+}
+
+/// Facts shared between areas. Each field is written by one area only.
+#[derive(Debug)]
+pub struct Board {
+    /// This daemon. Never changes.
+    pub me: Me,
+    /// Other daemons by id, gone ones excluded. Written by membership.
+    pub members: BTreeMap<DaemonId, Member>,
+    /// Announced servers, gone ones excluded. Written by the server registry.
+    pub servers: BTreeMap<ServerId, ServerEntry>,
+    /// Configuration in force. Its version never falls. Written by configuration.
+    pub conf: Option<Arc<Snapshot>>,
+    /// Withdrawn keys, also those not stored yet. Never shrinks. Written by configuration.
+    pub withdrawn: Arc<HashSet<KeyHash>>,
+    /// Digest over `withdrawn`, exchanged by pulls. Written by configuration.
+    pub withdrawn_digest: u64,
+    /// Verdicts by server; absent: full weight. Written by health.
+    pub verdicts: HashMap<ServerId, Verdict>,
+    /// Until when this daemon's view counts as current. Written by freshness.
+    pub current_until: Option<Instant>,
+    /// Whether the store does not answer this daemon. Written by freshness.
+    pub store_down: bool,
+    /// Version of the `shares` row that this daemon knows. Written by rate limiting.
+    pub shares_version: Version,
+    /// Whether this daemon may answer pulls for the `shares` row. Written by rate limiting.
+    pub shares_known: bool,
+    /// Whether the daemon is stopping. Written by the kernel.
+    pub stopping: bool,
+}
+
+impl Board {
+    /// Makes the board of a daemon that knows nothing yet.
+    pub fn new(me: Me) -> Self {
+        Self {
+            me,
+            members: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            conf: None,
+            withdrawn: Arc::default(),
+            withdrawn_digest: 0,
+            verdicts: HashMap::new(),
+            current_until: None,
+            store_down: false,
+            shares_version: 0,
+            shares_known: false,
+            stopping: false,
+        }
+    }
+
+    /// Ids of the daemons believed to work, this one included, sorted.
+    pub fn alive(&self) -> Vec<DaemonId> {
+        let mut ids: Vec<_> = self
+            .members
+            .values()
+            .filter(|m| m.is_alive())
+            .map(|m| m.id)
+            .collect();
+        ids.push(self.me.id);
+        ids.sort_unstable();
+        ids
+    }
+
+    /// Version of the configuration in force; 0: none.
+    pub fn version(&self) -> Version {
+        self.conf.as_ref().map_or(0, |c| c.version)
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/cell.rs
@@ -0,0 +1,23 @@
+//! Per-server state that the traffic threads share; lives as long as the server is announced.
+
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+
+/// Counters of one server as this daemon sees it.
+#[derive(Debug, Default)]
+pub struct ServerCell {
+    /// Requests of this daemon in flight at the server.
+    pub in_flight: AtomicU32,
+    /// Smoothed time to first byte in microseconds; 0: never measured.
+    pub latency_us: AtomicU32,
+    /// Consecutive failures seen by this daemon.
+    pub failures: AtomicU32,
+}
+
+impl ServerCell {
+    /// Folds one time to first byte into the smoothed latency (weight one eighth).
+    pub fn observe_latency(&self, us: u32) {
+        let old = self.latency_us.load(Relaxed);
+        let new = if old == 0 { us } else { old - old / 8 + us / 8 };
+        self.latency_us.store(new.max(1), Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,40 @@
+//! The sans-I/O control kernel. Areas register as plug-ins; the kernel knows none of them by name.
+//!
+//! The kernel takes [`Input`]s with the time and returns [`Output`]s: messages to send, store operations
+//! to perform, answers for operators, and a [`View`] for traffic. It holds no socket, task or clock, so
+//! tests drive several kernels over a fake network and a fake store.
+//!
+//! ```
+//! use std::time::Instant;
+//! use kernel::{Input, Kernel, Me, Setup};
+//!
+//! let me = Me::new("127.0.0.1:7000".parse().unwrap(), "127.0.0.1:7001".parse().unwrap(), "meseta", "barva", 1);
+//! let mut kernel = Kernel::new(Setup::new(me, 7), Instant::now());
+//! let outputs = kernel.handle(Instant::now(), 0, Input::Tick);
+//! assert!(outputs.is_empty()); // no area is linked into this example
+//! ```
+
+pub mod api;
+pub mod area;
+pub mod board;
+pub mod cell;
+pub mod cx;
+pub mod input;
+pub mod machine;
+pub mod pool;
+pub mod report;
+pub mod view;
+
+pub use api::{ApiRep, ApiReq, Ticket};
+pub use area::{Area, AreaEntry};
+pub use board::{Board, Me, Member, ServerEntry, Verdict};
+pub use cell::ServerCell;
+pub use cx::Cx;
+pub use input::{Event, Input, Output, StoreToken};
+pub use machine::{Kernel, Setup};
+pub use pool::{Pool, Pools, Take};
+pub use report::{Outcome, OutcomeKind, Report};
+pub use view::{ServerView, ServiceView, View};
+
+/// Re-exported so that areas register with the same version of the registry.
+pub use inventory;
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,12 @@
+//! Membership, freshness and the registry of announced backend servers: three areas of the kernel.
+//!
+//! ```
+//! // Linking the crate registers its areas.
+//! use member as _;
+//! let names: Vec<_> = kernel::inventory::iter::<kernel::AreaEntry>.into_iter().map(|e| e.name).collect();
+//! assert!(names.contains(&"member") && names.contains(&"fresh") && names.contains(&"servers"));
+//! ```
+
+pub mod fresh;
+pub mod roster;
+pub mod servers;
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,58 @@
+//! The platform's table service and object store: vocabulary, traits, HTTP client, in-memory model.
+//!
+//! Everything is said with [`StoreOp`] and [`StoreRep`], so that the control kernel stays free of I/O.
+//!
+//! ```
+//! use store::{Commit, MemStore, StoreOp, StoreRep, Write};
+//!
+//! let mut mem = MemStore::default();
+//! let commit = Commit { checks: vec![], writes: vec![Write::put("fleet/head", "1")] };
+//! assert!(matches!(mem.apply(&StoreOp::Commit(commit)), Ok(StoreRep::Committed { .. })));
+//! ```
+
+pub mod client;
+pub mod mem;
+pub mod op;
+
+use async_trait::async_trait;
+
+pub use client::HttpStore;
+pub use mem::MemStore;
+pub use op::{Check, Commit, Row, StoreError, StoreOp, StoreRep, Write};
+
+/// The transactional table service.
+#[async_trait]
+pub trait Table: Send + Sync {
+    /// Reads one row.
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError>;
+    /// Reads the rows whose keys start with `prefix`, in key order.
+    async fn range(&self, prefix: &str) -> Result<Vec<(Box<str>, Row)>, StoreError>;
+    /// Checks and writes several rows in one transaction; returns its version.
+    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError>;
+}
+
+/// The object store.
+#[async_trait]
+pub trait Objects: Send + Sync {
+    /// Reads an object.
+    async fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, StoreError>;
+    /// Writes an object. Names are content digests, so writing twice is harmless.
+    async fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), StoreError>;
+}
+
+/// Performs one operation through the traits.
+///
+/// # Errors
+/// Fails as the operation does.
+pub async fn call<S: Table + Objects + ?Sized>(store: &S, op: &StoreOp) -> Result<StoreRep, StoreError> {
+    match op {
+        StoreOp::Get { key } => store.get(key).await.map(StoreRep::Row),
+        StoreOp::Range { prefix } => store.range(prefix).await.map(StoreRep::Rows),
+        StoreOp::Commit(commit) => store
+            .commit(commit)
+            .await
+            .map(|version| StoreRep::Committed { version }),
+        StoreOp::GetObject { name } => store.get_object(name).await.map(StoreRep::Object),
+        StoreOp::PutObject { name, bytes } => store.put_object(name, bytes).await.map(|()| StoreRep::Stored),
+    }
+}
--- /dev/null
+++ b/crates/store/src/op.rs
@@ -0,0 +1,130 @@
+//! Operations on the store, their results and errors.
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// A row of the table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Text of the row, JSON by convention.
+    pub value: Box<str>,
+    /// Version of the transaction that wrote it; grows over the whole table.
+    pub version: u64,
+}
+
+/// A condition of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Check {
+    /// Key of the row.
+    pub key: Box<str>,
+    /// Version that it must have; 0: it must not exist.
+    pub version: u64,
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// Key of the row.
+    pub key: Box<str>,
+    /// New text; none deletes the row.
+    pub value: Option<Box<str>>,
+}
+
+impl Write {
+    /// Writes a row.
+    pub fn put(key: &str, value: &str) -> Self {
+        Self {
+            key: key.into(),
+            value: Some(value.into()),
+        }
+    }
+
+    /// Deletes a row.
+    pub fn delete(key: &str) -> Self {
+        Self {
+            key: key.into(),
+            value: None,
+        }
+    }
+}
+
+/// A transaction over several rows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Commit {
+    /// Conditions; all must hold.
+    pub checks: Vec<Check>,
+    /// Writes; all or none take effect.
+    pub writes: Vec<Write>,
+}
+
+/// One operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreOp {
+    /// Reads one row.
+    Get {
+        /// Key.
+        key: Box<str>,
+    },
+    /// Reads all rows whose keys start with a prefix.
+    Range {
+        /// Prefix.
+        prefix: Box<str>,
+    },
+    /// Performs a transaction.
+    Commit(Commit),
+    /// Reads an object.
+    GetObject {
+        /// Name.
+        name: Box<str>,
+    },
+    /// Writes an object.
+    PutObject {
+        /// Name.
+        name: Box<str>,
+        /// Content.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Result of one operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRep {
+    /// The row, if it exists.
+    Row(Option<Row>),
+    /// Rows in key order.
+    Rows(Vec<(Box<str>, Row)>),
+    /// The transaction took effect.
+    Committed {
+        /// Its version.
+        version: u64,
+    },
+    /// The object, if it exists.
+    Object(Option<Vec<u8>>),
+    /// The object is written.
+    Stored,
+}
+
+/// Why an operation failed.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreError {
+    /// No connection: the operation had no effect.
+    #[display("store unreachable; check --store and the platform's state")]
+    Down,
+    /// No answer: a write may have taken effect.
+    #[display("store answer lost; re-read before repeating a write")]
+    Ambiguous,
+    /// A condition does not hold; nothing was written.
+    #[display("row {key} has version {present}; read it again and repeat the change on top")]
+    Conflict {
+        /// Row whose condition failed.
+        key: Box<str>,
+        /// Its present version; 0: it does not exist.
+        present: u64,
+    },
+    /// The store refused the operation.
+    #[display("store refused the operation: {problem}; check versions of daemon and platform")]
+    Refused {
+        /// What the store said.
+        problem: Box<str>,
+    },
+}
--- /dev/null
+++ b/crates/wire/src/health.rs
@@ -0,0 +1,49 @@
+//! Messages of health: evidence digests and ejection lists.
+
+use base::{ServerId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// What one daemon saw of one server in one period.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The server.
+    pub server: ServerId,
+    /// Requests finished in the period.
+    pub total: u32,
+    /// Requests with a bad outcome that is the server's or the path's.
+    pub bad: u32,
+    /// Requests much slower than the service's other servers in the same period.
+    pub slow: u32,
+}
+
+/// One entry of an ejection list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ejected {
+    /// The server.
+    pub server: ServerId,
+    /// Time until the entry lapses, in milliseconds, at the time of sending.
+    pub ttl_ms: u32,
+    /// Share of its normal work that it may get, 0 to 1; 0 while ejected.
+    pub weight: f32,
+}
+
+/// What daemons say about the health of servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum HealthMsg {
+    /// Evidence towards the service's coordinator.
+    Evidence {
+        /// The service.
+        service: ServiceId,
+        /// Evidence on each server that had traffic.
+        list: Vec<Evidence>,
+    },
+    /// The coordinator's ejection list; replaces the earlier one of the service.
+    Ejections {
+        /// The service.
+        service: ServiceId,
+        /// Grows with each list of this coordinator.
+        seq: u64,
+        /// The entries.
+        list: Vec<Ejected>,
+    },
+}
