Add fakes that drive a few kernels under virtual time

Cause: every area needs lost, late, doubled and crossed messages, pauses, restarts and store faults in tests. Change: crate fake with a seeded network, store and fleet of real kernels. Conclusion: areas can be proved without sockets or clocks.

--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,18 @@
+//! Fakes for tests: a lossy network and a faulty store around a few real kernels, under virtual time.
+//!
+//! Everything is seeded; the same seed gives the same run. No sockets, tasks or clocks.
+//!
+//! ```
+//! use std::time::Duration;
+//! let mut fleet = fake::Fleet::new(7, &[("meseta", "barva"), ("guanacaste", "canas")]);
+//! fleet.run_for(Duration::from_secs(2));
+//! assert_eq!(fleet.daemons(), 2);
+//! ```
+
+pub mod fleet;
+pub mod net;
+pub mod platform;
+
+pub use fleet::{Fleet, Index};
+pub use net::Net;
+pub use platform::Platform;
--- /dev/null
+++ b/crates/fake/src/platform.rs
@@ -0,0 +1,68 @@
+//! The fake store: the in-memory model with faults.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use base::DaemonId;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use store::{MemStore, StoreError, StoreOp, StoreRep};
+
+/// The store and its faults; all may change while a fleet runs.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Content.
+    pub mem: MemStore,
+    /// Whether every call fails without effect.
+    pub down: bool,
+    /// Daemons that can't reach the store.
+    pub cut: HashSet<DaemonId>,
+    /// Share of writes whose answer is lost after the write took effect, 0 to 1.
+    pub lost_answers: f64,
+    /// Time from call to effect, and again from effect to answer.
+    pub latency: Duration,
+    /// Reads so far.
+    pub reads: u64,
+    /// Writes so far.
+    pub writes: u64,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            mem: MemStore::default(),
+            down: false,
+            cut: HashSet::new(),
+            lost_answers: 0.0,
+            latency: Duration::from_millis(2),
+            reads: 0,
+            writes: 0,
+        }
+    }
+}
+
+impl Platform {
+    /// Performs a call of one daemon with the faults in force.
+    pub(crate) fn call(
+        &mut self,
+        from: DaemonId,
+        op: &StoreOp,
+        rng: &mut SmallRng,
+    ) -> Result<StoreRep, StoreError> {
+        if self.down || self.cut.contains(&from) {
+            return Err(StoreError::Down);
+        }
+        let is_write = matches!(op, StoreOp::Commit(_) | StoreOp::PutObject { .. });
+        let count = if is_write {
+            &mut self.writes
+        } else {
+            &mut self.reads
+        };
+        *count += 1;
+        let res = self.mem.apply(op);
+        if is_write && rng.random::<f64>() < self.lost_answers {
+            return Err(StoreError::Ambiguous);
+        }
+        res
+    }
+}
