--- a/bins/pomelo-load/src/main.rs
+++ b/bins/pomelo-load/src/main.rs
@@ -16,10 +16,7 @@
             return std::process::ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     runtime.expect("a runtime starts").block_on(run::run(&plan));
     std::process::ExitCode::SUCCESS
 }
--- a/bins/pomelo-load/src/plan.rs
+++ b/bins/pomelo-load/src/plan.rs
@@ -43,10 +43,8 @@
     if args.contains("--help") {
         return Ok(None);
     }
-    let text = |args: &mut Arguments, flag| {
-        args.opt_value_from_str::<_, String>(flag)
-            .map(|o| o.map(Box::from))
-    };
+    let text =
+        |args: &mut Arguments, flag| args.opt_value_from_str::<_, String>(flag).map(|o| o.map(Box::from));
     let targets: Vec<SocketAddr> = args.values_from_str("--target")?;
     if targets.is_empty() {
         return Err(Error::MissingArgument);
--- a/bins/pomelo-load/src/run.rs
+++ b/bins/pomelo-load/src/run.rs
@@ -31,10 +31,7 @@
 /// Performs the run and prints its results.
 pub async fn run(plan: &Plan) {
     let times = Histogram::new_with_bounds(1, MAX_US, 3).expect("valid bounds");
-    let results = Arc::new(Mutex::new(Results {
-        times,
-        answers: BTreeMap::new(),
-    }));
+    let results = Arc::new(Mutex::new(Results { times, answers: BTreeMap::new() }));
     let client: Http = Client::builder(TokioExecutor::new()).build_http();
     let tracker = TaskTracker::new();
     let started = Instant::now();
@@ -59,9 +56,7 @@
 
 fn request(plan: &Plan, n: u64) -> Request<Full<Bytes>> {
     let target = plan.targets[n as usize % plan.targets.len()];
-    let mut builder = Request::builder()
-        .method(&*plan.method)
-        .uri(format!("http://{target}{}", plan.path));
+    let mut builder = Request::builder().method(&*plan.method).uri(format!("http://{target}{}", plan.path));
     if let Some(key) = &plan.key {
         builder = builder.header("x-api-key", &**key);
     }
--- a/bins/pomelo-server/src/main.rs
+++ b/bins/pomelo-server/src/main.rs
@@ -20,29 +20,20 @@
             return std::process::ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime starts");
     runtime.block_on(async {
         let listener = match TcpListener::bind(settings.listen).await {
             Ok(listener) => listener,
             Err(e) => {
-                eprintln!(
-                    "pomelo-server: --listen {}: {e}; choose a free local address",
-                    settings.listen
-                );
+                eprintln!("pomelo-server: --listen {}: {e}; choose a free local address", settings.listen);
                 return std::process::ExitCode::FAILURE;
             }
         };
         let addr = listener.local_addr().expect("a bound socket has an address");
         println!("ready listen={addr}");
         let state = serve::State::new(&settings);
-        tokio::spawn(announce::keep(
-            settings.clone(),
-            addr,
-            std::sync::Arc::clone(&state),
-        ));
+        tokio::spawn(announce::keep(settings.clone(), addr, std::sync::Arc::clone(&state)));
         serve::listen(listener, state).await;
         std::process::ExitCode::SUCCESS
     })
--- a/bins/pomelo-server/src/mode.rs
+++ b/bins/pomelo-server/src/mode.rs
@@ -20,12 +20,6 @@
 
 impl Default for Mode {
     fn default() -> Self {
-        Self {
-            slow: 1.0,
-            slow_share: 1.0,
-            errors: 0.0,
-            silent: false,
-            draining: false,
-        }
+        Self { slow: 1.0, slow_share: 1.0, errors: 0.0, silent: false, draining: false }
     }
 }
--- a/bins/pomelo-server/src/serve.rs
+++ b/bins/pomelo-server/src/serve.rs
@@ -99,31 +99,19 @@
 }
 
 async fn set_mode(state: &State, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let body = req
-        .into_body()
-        .collect()
-        .await
-        .map(http_body_util::Collected::to_bytes)
-        .unwrap_or_default();
+    let body = req.into_body().collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
     match serde_json::from_slice(&body) {
         Ok(mode) => {
             *lock(&state.mode) = mode;
             text(StatusCode::OK, "set".into())
         }
-        Err(e) => text(
-            StatusCode::BAD_REQUEST,
-            format!("{e}; send a JSON object of modes"),
-        ),
+        Err(e) => text(StatusCode::BAD_REQUEST, format!("{e}; send a JSON object of modes")),
     }
 }
 
 async fn work(state: &State, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let id = req.headers().get(REQUEST_ID).cloned();
-    let order = req
-        .headers()
-        .get(ORDER_ID)
-        .and_then(|v| v.to_str().ok())
-        .map(Box::<str>::from);
+    let order = req.headers().get(ORDER_ID).and_then(|v| v.to_str().ok()).map(Box::<str>::from);
     let Ok(_place) = state.waiting.try_acquire() else {
         return shed(id);
     };
@@ -142,18 +130,13 @@
         *lock(&state.ledger).entry(order).or_default() += 1;
     }
     let failed = rand::rng().random::<f64>() < mode.errors;
-    let status = if failed {
-        StatusCode::INTERNAL_SERVER_ERROR
-    } else {
-        StatusCode::OK
-    };
+    let status = if failed { StatusCode::INTERNAL_SERVER_ERROR } else { StatusCode::OK };
     with_id(text(status, format!("{{\"server\":\"{}\"}}", state.id)), id)
 }
 
 fn shed(id: Option<HeaderValue>) -> Response<Full<Bytes>> {
     let mut rep = text(StatusCode::SERVICE_UNAVAILABLE, "busy".into());
-    rep.headers_mut()
-        .insert("x-pomelo-run", HeaderValue::from_static("no"));
+    rep.headers_mut().insert("x-pomelo-run", HeaderValue::from_static("no"));
     with_id(rep, id)
 }
 
--- a/bins/pomelo-server/src/settings.rs
+++ b/bins/pomelo-server/src/settings.rs
@@ -58,9 +58,7 @@
     }
     let text = |args: &mut Arguments, flag| args.value_from_str::<_, String>(flag).map(Box::from);
     Ok(Action::Run(Settings {
-        listen: args
-            .opt_value_from_str("--listen")?
-            .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))),
+        listen: args.opt_value_from_str("--listen")?.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))),
         id: text(&mut args, "--id")?,
         service: text(&mut args, "--service")?,
         region: text(&mut args, "--region")?,
--- a/bins/pomelo-store/src/main.rs
+++ b/bins/pomelo-store/src/main.rs
@@ -31,13 +31,9 @@
         }
     };
     let from_env = || std::env::var("POMELO_LISTEN").ok()?.parse().ok();
-    let addr = given
-        .or_else(from_env)
-        .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
+    let addr = given.or_else(from_env).unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime starts");
     runtime.block_on(async {
         let listener = match TcpListener::bind(addr).await {
             Ok(listener) => listener,
@@ -46,10 +42,7 @@
                 return std::process::ExitCode::FAILURE;
             }
         };
-        println!(
-            "ready listen={}",
-            listener.local_addr().expect("a bound socket has an address")
-        );
+        println!("ready listen={}", listener.local_addr().expect("a bound socket has an address"));
         serve::listen(listener).await;
         std::process::ExitCode::SUCCESS
     })
--- a/bins/pomelo-store/src/serve.rs
+++ b/bins/pomelo-store/src/serve.rs
@@ -56,29 +56,16 @@
 
 async fn answer(state: &Shared, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = req.into_parts();
-    let body = body
-        .collect()
-        .await
-        .map(http_body_util::Collected::to_bytes)
-        .unwrap_or_default();
+    let body = body.collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
     match (&parts.method, parts.uri.path()) {
         (&Method::PUT, "/faults") => return set_faults(state, &body),
         (&Method::GET, "/calls") => return json(StatusCode::OK, &lock(state).calls),
         _ => {}
     }
-    let Some(op) = decode(
-        &parts.method,
-        parts.uri.path(),
-        parts.uri.query().unwrap_or(""),
-        &body,
-    ) else {
+    let Some(op) = decode(&parts.method, parts.uri.path(), parts.uri.query().unwrap_or(""), &body) else {
         return text(StatusCode::BAD_REQUEST, "unknown call");
     };
-    let caller = parts
-        .headers
-        .get(CALLER_HEADER)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or("");
+    let caller = parts.headers.get(CALLER_HEADER).and_then(|v| v.to_str().ok()).unwrap_or("");
     let is_write = matches!(op, StoreOp::Commit(_) | StoreOp::PutObject { .. });
     let (fate, slow) = {
         let mut state = lock(state);
@@ -112,34 +99,24 @@
             lock(state).faults = faults;
             text(StatusCode::OK, "set")
         }
-        Err(e) => text(
-            StatusCode::BAD_REQUEST,
-            &format!("{e}; send a JSON object of faults"),
-        ),
+        Err(e) => text(StatusCode::BAD_REQUEST, &format!("{e}; send a JSON object of faults")),
     }
 }
 
 fn decode(method: &Method, path: &str, query: &str, body: &Bytes) -> Option<StoreOp> {
     let param = |name: &str| {
-        let value = query
-            .split('&')
-            .find_map(|p| p.strip_prefix(name)?.strip_prefix('='))?;
+        let value = query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='))?;
         Some(Box::from(percent_decode(value)))
     };
     match (method, path) {
         (&Method::GET, "/row") => Some(StoreOp::Get { key: param("key")? }),
-        (&Method::GET, "/rows") => Some(StoreOp::Range {
-            prefix: param("prefix")?,
-        }),
+        (&Method::GET, "/rows") => Some(StoreOp::Range { prefix: param("prefix")? }),
         (&Method::POST, "/commit") => serde_json::from_slice(body).ok().map(StoreOp::Commit),
         (method, path) => {
             let name = Box::from(path.strip_prefix("/objects/")?);
             match *method {
                 Method::GET => Some(StoreOp::GetObject { name }),
-                Method::PUT => Some(StoreOp::PutObject {
-                    name,
-                    bytes: body.to_vec(),
-                }),
+                Method::PUT => Some(StoreOp::PutObject { name, bytes: body.to_vec() }),
                 _ => None,
             }
         }
@@ -155,9 +132,7 @@
             continue;
         }
         let hex: Vec<u8> = bytes.by_ref().take(2).collect();
-        let code = std::str::from_utf8(&hex)
-            .ok()
-            .and_then(|h| u8::from_str_radix(h, 16).ok());
+        let code = std::str::from_utf8(&hex).ok().and_then(|h| u8::from_str_radix(h, 16).ok());
         out.push(code.unwrap_or(b'?'));
     }
     String::from_utf8_lossy(&out).into_owned()
--- a/bins/pomeloctl/src/client.rs
+++ b/bins/pomeloctl/src/client.rs
@@ -32,10 +32,7 @@
 /// # Errors
 /// Fails when the daemon does not answer.
 pub async fn call(addr: SocketAddr, method: Method, path: &str, body: Vec<u8>) -> Result<Answer, CallError> {
-    let fail = |e: &dyn std::error::Error| CallError {
-        addr,
-        problem: e.to_string().into(),
-    };
+    let fail = |e: &dyn std::error::Error| CallError { addr, problem: e.to_string().into() };
     let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
     let req = Request::builder()
         .method(method)
--- a/bins/pomeloctl/src/command.rs
+++ b/bins/pomeloctl/src/command.rs
@@ -52,9 +52,7 @@
 }
 
 fn usage(problem: impl Into<Box<str>>) -> UsageError {
-    UsageError {
-        problem: problem.into(),
-    }
+    UsageError { problem: problem.into() }
 }
 
 /// Parses the arguments.
@@ -66,15 +64,9 @@
     if args.contains("--help") {
         return Ok(Command::Help);
     }
-    let api: Option<SocketAddr> = args
-        .opt_value_from_str("--api")
-        .map_err(|e| usage(e.to_string()))?;
+    let api: Option<SocketAddr> = args.opt_value_from_str("--api").map_err(|e| usage(e.to_string()))?;
     let api = api.or_else(|| std::env::var("POMELO_API").ok()?.parse().ok());
-    let words: Vec<String> = args
-        .finish()
-        .into_iter()
-        .map(|w| w.to_string_lossy().into_owned())
-        .collect();
+    let words: Vec<String> = args.finish().into_iter().map(|w| w.to_string_lossy().into_owned()).collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     if let ["check", file] = words.as_slice() {
         return Ok(Command::Check((*file).into()));
@@ -86,9 +78,7 @@
             (Method::PUT, "/v1/config".into(), body)
         }
         ["keys", "give", customer, name] => {
-            let body = json!({ "customer": customer, "name": name })
-                .to_string()
-                .into_bytes();
+            let body = json!({ "customer": customer, "name": name }).to_string().into_bytes();
             (Method::POST, "/v1/keys".into(), body)
         }
         ["keys", "withdraw", name] => (Method::DELETE, format!("/v1/keys/{name}"), Vec::new()),
@@ -96,12 +86,7 @@
         ["servers"] => (Method::GET, "/v1/servers".into(), Vec::new()),
         other => return Err(usage(format!("no command {:?}", other.join(" ")))),
     };
-    Ok(Command::Call {
-        api,
-        method,
-        path: path.into(),
-        body,
-    })
+    Ok(Command::Call { api, method, path: path.into(), body })
 }
 
 /// Carries out a command and prints its result.
@@ -112,18 +97,15 @@
             ExitCode::SUCCESS
         }
         Command::Check(file) => check(file),
-        Command::Call {
-            api,
-            method,
-            path,
-            body,
-        } => match call(*api, method.clone(), path, body.clone()).await {
-            Ok(answer) => print(&answer),
-            Err(e) => {
-                eprintln!("pomeloctl: {e}");
-                ExitCode::from(3)
+        Command::Call { api, method, path, body } => {
+            match call(*api, method.clone(), path, body.clone()).await {
+                Ok(answer) => print(&answer),
+                Err(e) => {
+                    eprintln!("pomeloctl: {e}");
+                    ExitCode::from(3)
+                }
             }
-        },
+        }
     }
 }
 
--- a/bins/pomeloctl/src/main.rs
+++ b/bins/pomeloctl/src/main.rs
@@ -14,9 +14,7 @@
             return ExitCode::from(2);
         }
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime starts");
     runtime.block_on(command::run(&command))
 }
--- a/bins/pomelod/src/api.rs
+++ b/bins/pomelod/src/api.rs
@@ -42,31 +42,21 @@
     registry: Registry,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() == "/metrics" {
-        let text = TextEncoder::new()
-            .encode_to_string(&registry.gather())
-            .unwrap_or_default();
+        let text = TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default();
         return Response::new(Full::new(text.into()));
     }
     let rep = ask(req, calls).await;
     let body = Full::new(Bytes::from(rep.body.to_string()));
     let mut answer = Response::new(body);
     *answer.status_mut() = StatusCode::from_u16(rep.status).unwrap_or_default();
-    answer.headers_mut().insert(
-        "content-type",
-        hyper::header::HeaderValue::from_static("application/json"),
-    );
+    answer.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
     answer
 }
 
 async fn ask(req: Request<Incoming>, calls: mpsc::Sender<ApiCall>) -> ApiRep {
     let (parts, body) = req.into_parts();
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return ApiRep::error(
-            413,
-            "too-large",
-            "the body is too large or broke off",
-            "send at most 64 MiB",
-        );
+        return ApiRep::error(413, "too-large", "the body is too large or broke off", "send at most 64 MiB");
     };
     let req = ApiReq {
         method: parts.method.as_str().into(),
--- a/bins/pomelod/src/control.rs
+++ b/bins/pomelod/src/control.rs
@@ -84,13 +84,7 @@
     let (calls, mut call_rx) = mpsc::channel(INPUT_QUEUE);
     let store = HttpStore::new(settings.store, &sockets.peer.to_string(), STORE_TIMEOUT);
     let incarnation = control.kernel.board().me.incarnation;
-    let peers = Peers::start(
-        settings.secret.clone(),
-        sockets.udp,
-        sockets.tcp,
-        incarnation,
-        inputs.clone(),
-    );
+    let peers = Peers::start(settings.secret.clone(), sockets.udp, sockets.tcp, incarnation, inputs.clone());
     tokio::spawn(api::listen(sockets.api, calls, control.registry));
     let mut driver = Driver {
         kernel: control.kernel,
@@ -139,22 +133,14 @@
     fn call(&mut self, call: ApiCall) {
         self.next_ticket += 1;
         self.waiting.insert(self.next_ticket, call.reply);
-        self.handle(Input::Api {
-            ticket: self.next_ticket,
-            req: call.req,
-        });
+        self.handle(Input::Api { ticket: self.next_ticket, req: call.req });
     }
 
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Send { to, msg } => {
                 let me = &self.kernel.board().me;
-                self.peers.send(&Envelope {
-                    from: me.id,
-                    to,
-                    incarnation: me.incarnation,
-                    msg,
-                });
+                self.peers.send(&Envelope { from: me.id, to, incarnation: me.incarnation, msg });
             }
             Output::Store { token, op } => {
                 let store = self.store.clone();
--- a/bins/pomelod/src/peer.rs
+++ b/bins/pomelod/src/peer.rs
@@ -41,11 +41,7 @@
     async fn receive(&self, sealed: &[u8]) {
         match wire::open(&self.secret, sealed) {
             Ok(e) if e.to == self.me => {
-                let input = Input::Msg {
-                    from: e.from,
-                    incarnation: e.incarnation,
-                    msg: e.msg,
-                };
+                let input = Input::Msg { from: e.from, incarnation: e.incarnation, msg: e.msg };
                 let _ = self.inputs.send(input).await;
             }
             Ok(e) => event!(Debug, DatagramRefused, "from={} addressed to {}", e.from, e.to),
@@ -70,22 +66,11 @@
         inputs: mpsc::Sender<Input>,
     ) -> Self {
         let udp = Arc::new(udp);
-        let me = udp
-            .local_addr()
-            .unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)));
-        let receiver = Receiver {
-            secret: secret.clone(),
-            me,
-            inputs,
-        };
+        let me = udp.local_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)));
+        let receiver = Receiver { secret: secret.clone(), me, inputs };
         tokio::spawn(receive_datagrams(Arc::clone(&udp), receiver.clone()));
         tokio::spawn(receive_bulk(tcp, receiver));
-        Self {
-            secret,
-            udp,
-            bulk: HashMap::new(),
-            tracker: TaskTracker::new(),
-        }
+        Self { secret, udp, bulk: HashMap::new(), tracker: TaskTracker::new() }
     }
 
     /// Sends a message without waiting; a message that can't be sent at once is lost.
@@ -133,13 +118,11 @@
         let transport =
             tarpc::serde_transport::new(tokio_util::codec::Framed::new(stream, frames()), PostcardCodec);
         let receiver = receiver.clone();
-        tokio::spawn(
-            BaseChannel::with_defaults(transport)
-                .execute(receiver.serve())
-                .for_each(|response| async {
-                    response.await;
-                }),
-        );
+        tokio::spawn(BaseChannel::with_defaults(transport).execute(receiver.serve()).for_each(
+            |response| async {
+                response.await;
+            },
+        ));
     }
 }
 
--- a/bins/pomelod/src/settings.rs
+++ b/bins/pomelod/src/settings.rs
@@ -74,11 +74,7 @@
 }
 
 fn error(flag: &str, problem: impl Into<Box<str>>, remedy: &str) -> SettingError {
-    SettingError {
-        flag: flag.into(),
-        problem: problem.into(),
-        remedy: remedy.into(),
-    }
+    SettingError { flag: flag.into(), problem: problem.into(), remedy: remedy.into() }
 }
 
 /// Reads flags and environment variables.
@@ -91,18 +87,12 @@
         return Ok(Action::Print(HELP.into()));
     }
     if args.contains("--version") {
-        return Ok(Action::Print(
-            concat!("pomelod ", env!("CARGO_PKG_VERSION")).into(),
-        ));
+        return Ok(Action::Print(concat!("pomelod ", env!("CARGO_PKG_VERSION")).into()));
     }
     let check = args.contains("--check");
     let settings = parse(&mut args)?;
     if let Some(extra) = args.finish().first() {
-        return Err(error(
-            &extra.to_string_lossy(),
-            "unknown argument",
-            "see pomelod --help",
-        ));
+        return Err(error(&extra.to_string_lossy(), "unknown argument", "see pomelod --help"));
     }
     if check {
         return Ok(Action::Print("settings are valid".into()));
@@ -113,13 +103,8 @@
 fn parse(args: &mut Arguments) -> Result<Settings, SettingError> {
     let local = "127.0.0.1:0";
     let secret = std::env::var("POMELO_FLEET_SECRET").unwrap_or_default();
-    let fleet_secret = FleetSecret::new(secret.as_bytes()).map_err(|e| {
-        error(
-            "POMELO_FLEET_SECRET",
-            e.to_string(),
-            "give all daemons the same secret",
-        )
-    })?;
+    let fleet_secret = FleetSecret::new(secret.as_bytes())
+        .map_err(|e| error("POMELO_FLEET_SECRET", e.to_string(), "give all daemons the same secret"))?;
     let settings = Settings {
         listen: addr(args, "--listen", Some(local))?,
         api: addr(args, "--api", Some(local))?,
@@ -150,10 +135,7 @@
 }
 
 fn variable(flag: &str) -> String {
-    format!(
-        "POMELO_{}",
-        flag.trim_start_matches('-').replace('-', "_").to_uppercase()
-    )
+    format!("POMELO_{}", flag.trim_start_matches('-').replace('-', "_").to_uppercase())
 }
 
 fn addr(args: &mut Arguments, flag: &'static str, default: Option<&str>) -> Result<SocketAddr, SettingError> {
@@ -163,8 +145,7 @@
 
 fn parse_addr(flag: &str, text: &str) -> Result<SocketAddr, SettingError> {
     let remedy = "give an IP address and port such as 127.0.0.1:8080";
-    text.parse()
-        .map_err(|e| error(flag, format!("{text:?}: {e}"), remedy))
+    text.parse().map_err(|e| error(flag, format!("{text:?}: {e}"), remedy))
 }
 
 fn peers(args: &mut Arguments) -> Result<Vec<SocketAddr>, SettingError> {
@@ -174,11 +155,7 @@
         .map_err(|e| error(flag, e.to_string(), "give an address after each flag"))?;
     let from_env = std::env::var(variable(flag)).unwrap_or_default();
     let from_env = from_env.split(',').filter(|s| !s.is_empty()).map(String::from);
-    given
-        .into_iter()
-        .chain(from_env)
-        .map(|s| parse_addr(flag, &s))
-        .collect()
+    given.into_iter().chain(from_env).map(|s| parse_addr(flag, &s)).collect()
 }
 
 fn threads(args: &mut Arguments) -> Result<usize, SettingError> {
@@ -186,10 +163,6 @@
     let text = text(args, flag, Some("2"))?;
     match text.parse() {
         Ok(n @ 1..=64) => Ok(n),
-        _ => Err(error(
-            flag,
-            format!("{text:?} is no number from 1 to 64"),
-            "give a number of threads",
-        )),
+        _ => Err(error(flag, format!("{text:?} is no number from 1 to 64"), "give a number of threads")),
     }
 }
--- a/bins/pomelod/src/start.rs
+++ b/bins/pomelod/src/start.rs
@@ -41,13 +41,7 @@
         .map_err(|source| Fatal::Threads { source })?;
     let sockets = control_runtime.block_on(bind(settings))?;
     let callers = traffic_runtime.block_on(listen("--listen", settings.listen))?;
-    let me = Me::new(
-        sockets.peer,
-        sockets.api_addr,
-        &settings.region,
-        &settings.data_centre,
-        wall_ms(),
-    );
+    let me = Me::new(sockets.peer, sockets.api_addr, &settings.region, &settings.data_centre, wall_ms());
     let listen_addr = callers.local_addr().unwrap_or(settings.listen);
 
     let registry = Registry::new();
@@ -65,31 +59,15 @@
     let stop = CancellationToken::new();
     let traffic_done = CancellationToken::new();
 
-    println!(
-        "ready listen={listen_addr} api={} peer={}",
-        sockets.api_addr, sockets.peer
-    );
-    event!(
-        Info,
-        DaemonStarted,
-        "listen={listen_addr} api={} peer={}",
-        sockets.api_addr,
-        sockets.peer
-    );
+    println!("ready listen={listen_addr} api={} peer={}", sockets.api_addr, sockets.peer);
+    event!(Info, DaemonStarted, "listen={listen_addr} api={} peer={}", sockets.api_addr, sockets.peer);
     let traffic = traffic_runtime.spawn(serve_callers(
         callers,
         Arc::clone(&shared),
         stop.clone(),
         traffic_done.clone(),
     ));
-    let control = Control {
-        kernel,
-        shared,
-        registry,
-        report_rx,
-        stop: stop.clone(),
-        traffic_done,
-    };
+    let control = Control { kernel, shared, registry, report_rx, stop: stop.clone(), traffic_done };
     control_runtime.block_on(async {
         tokio::spawn(watch_signals(stop));
         control::run(control, sockets, settings).await;
@@ -143,9 +121,7 @@
 }
 
 async fn listen(flag: &'static str, addr: SocketAddr) -> Result<TcpListener, Fatal> {
-    TcpListener::bind(addr)
-        .await
-        .map_err(|source| Fatal::Listen { flag, addr, source })
+    TcpListener::bind(addr).await.map_err(|source| Fatal::Listen { flag, addr, source })
 }
 
 async fn bind(settings: &Settings) -> Result<Sockets, Fatal> {
@@ -153,13 +129,7 @@
     let api_addr = api.local_addr().unwrap_or(settings.api);
     let (udp, tcp) = bind_peer(settings.peer_listen).await?;
     let peer = udp.local_addr().unwrap_or(settings.peer_listen);
-    Ok(Sockets {
-        api,
-        api_addr,
-        udp,
-        tcp,
-        peer,
-    })
+    Ok(Sockets { api, api_addr, udp, tcp, peer })
 }
 
 async fn bind_peer(addr: SocketAddr) -> Result<(UdpSocket, TcpListener), Fatal> {
@@ -170,11 +140,7 @@
             Ok(pair) => return Ok(pair),
             Err(_) if addr.port() == 0 && tries < PORT_TRIES => {}
             Err(source) => {
-                return Err(Fatal::Listen {
-                    flag: "--peer-listen",
-                    addr,
-                    source,
-                });
+                return Err(Fatal::Listen { flag: "--peer-listen", addr, source });
             }
         }
     }
@@ -188,7 +154,5 @@
 
 /// Milliseconds since the epoch.
 pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -35,9 +35,6 @@
 impl Place {
     /// Makes a place from the names of its region and data centre.
     pub fn new(region: &str, data_centre: &str) -> Self {
-        Self {
-            region: region.into(),
-            data_centre: data_centre.into(),
-        }
+        Self { region: region.into(), data_centre: data_centre.into() }
     }
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod id;
 pub mod refusal;
+pub mod rendezvous;
 pub mod retry;
 
 pub use event::Event;
--- a/crates/conf/src/compile.rs
+++ b/crates/conf/src/compile.rs
@@ -21,11 +21,7 @@
 /// # Errors
 /// Fails on the first fault, with file, field and remedy.
 pub fn compile(source: &Source, version: Version) -> Result<Snapshot, ConfError> {
-    let mut snapshot = Snapshot {
-        version,
-        fleet: source.fleet.clone(),
-        ..Snapshot::default()
-    };
+    let mut snapshot = Snapshot { version, fleet: source.fleet.clone(), ..Snapshot::default() };
     add_services(&mut snapshot, source)?;
     add_customers(&mut snapshot, source)?;
     let routes = expand_routes(source)?;
@@ -49,30 +45,12 @@
         let field = format!("service[{}]", s.name);
         if !(0.0..=1.0).contains(&s.floor) {
             let field = format!("{field}.floor");
-            return Err(ConfError::new(
-                WHOLE,
-                field,
-                "not between 0 and 1",
-                "give a share such as 0.6",
-            ));
+            return Err(ConfError::new(WHOLE, field, "not between 0 and 1", "give a share such as 0.6"));
         }
-        let service = Service {
-            name: s.name.clone(),
-            floor: s.floor,
-            cross_region: s.cross_region,
-            queue: s.queue,
-        };
-        if snapshot
-            .services
-            .insert(s.name.clone(), Arc::new(service))
-            .is_some()
-        {
-            return Err(ConfError::new(
-                WHOLE,
-                field,
-                "name used twice",
-                "rename one of the services",
-            ));
+        let service =
+            Service { name: s.name.clone(), floor: s.floor, cross_region: s.cross_region, queue: s.queue };
+        if snapshot.services.insert(s.name.clone(), Arc::new(service)).is_some() {
+            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the services"));
         }
     }
     Ok(())
@@ -83,29 +61,11 @@
         let field = format!("customer[{}]", c.name);
         let valid = |n: f64| n.is_finite() && n > 0.0;
         if !valid(c.rate) || !valid(c.burst) {
-            return Err(ConfError::new(
-                WHOLE,
-                field,
-                "rate or burst not above 0",
-                "give positive numbers",
-            ));
+            return Err(ConfError::new(WHOLE, field, "rate or burst not above 0", "give positive numbers"));
         }
-        let customer = Customer {
-            name: c.name.clone(),
-            rate: c.rate,
-            burst: c.burst,
-        };
-        if snapshot
-            .customers
-            .insert(c.name.clone(), Arc::new(customer))
-            .is_some()
-        {
-            return Err(ConfError::new(
-                WHOLE,
-                field,
-                "name used twice",
-                "rename one of the customers",
-            ));
+        let customer = Customer { name: c.name.clone(), rate: c.rate, burst: c.burst };
+        if snapshot.customers.insert(c.name.clone(), Arc::new(customer)).is_some() {
+            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the customers"));
         }
     }
     Ok(())
@@ -139,17 +99,9 @@
         let route = compile_route(snapshot, r)?;
         if !names.insert(route.name.clone()) {
             let field = format!("route[{}]", r.name);
-            return Err(ConfError::new(
-                WHOLE,
-                field,
-                "name used twice",
-                "rename one of the routes",
-            ));
+            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the routes"));
         }
-        groups
-            .entry(first_segment(&route.prefix).into())
-            .or_default()
-            .push(Arc::new(route));
+        groups.entry(first_segment(&route.prefix).into()).or_default().push(Arc::new(route));
     }
     for group in groups.values_mut() {
         group.sort_by_key(|r| (Reverse(r.prefix.len()), r.host.is_none(), r.name.clone()));
@@ -160,43 +112,19 @@
 
 fn compile_route(snapshot: &Snapshot, r: &RouteSource) -> Result<Route, ConfError> {
     let fail = |field: &str, problem: &str, remedy: &str| {
-        Err(ConfError::new(
-            WHOLE,
-            format!("route[{}].{field}", r.name),
-            problem,
-            remedy,
-        ))
+        Err(ConfError::new(WHOLE, format!("route[{}].{field}", r.name), problem, remedy))
     };
     if !r.prefix.starts_with('/') {
-        return fail(
-            "prefix",
-            "does not start with a slash",
-            "write a path such as \"/orders\"",
-        );
+        return fail("prefix", "does not start with a slash", "write a path such as \"/orders\"");
     }
     if !snapshot.services.contains_key(&r.service) {
-        return fail(
-            "service",
-            "unknown service",
-            "add the service or correct its name",
-        );
+        return fail("service", "unknown service", "add the service or correct its name");
     }
-    if r.customer
-        .as_ref()
-        .is_some_and(|c| !snapshot.customers.contains_key(c))
-    {
-        return fail(
-            "customer",
-            "unknown customer",
-            "add the customer or correct its name",
-        );
+    if r.customer.as_ref().is_some_and(|c| !snapshot.customers.contains_key(c)) {
+        return fail("customer", "unknown customer", "add the customer or correct its name");
     }
     if r.open && r.customer.is_some() {
-        return fail(
-            "open",
-            "an open route can't belong to a customer",
-            "remove open or customer",
-        );
+        return fail("open", "an open route can't belong to a customer", "remove open or customer");
     }
     if r.timeout_ms == 0 {
         return fail("timeout_ms", "is 0", "give a time in milliseconds");
@@ -219,29 +147,14 @@
 fn compile_key(snapshot: &Snapshot, k: &KeySource) -> Result<Key, ConfError> {
     let field = |name: &str| format!("key[{}].{name}", k.name);
     if !snapshot.customers.contains_key(&k.customer) {
-        return Err(ConfError::new(
-            WHOLE,
-            field("customer"),
-            "unknown customer",
-            "add the customer first",
-        ));
+        return Err(ConfError::new(WHOLE, field("customer"), "unknown customer", "add the customer first"));
     }
     let Some(hash) = parse_hash(&k.hash) else {
         let remedy = "create keys with `pomeloctl keys give`";
-        return Err(ConfError::new(
-            WHOLE,
-            field("hash"),
-            "not 64 hexadecimal digits",
-            remedy,
-        ));
+        return Err(ConfError::new(WHOLE, field("hash"), "not 64 hexadecimal digits", remedy));
     };
     let expires = k.expires.map(|s| SystemTime::UNIX_EPOCH + Duration::from_secs(s));
-    Ok(Key {
-        name: k.name.clone(),
-        hash,
-        customer: k.customer.clone(),
-        expires,
-    })
+    Ok(Key { name: k.name.clone(), hash, customer: k.customer.clone(), expires })
 }
 
 fn parse_hash(text: &str) -> Option<KeyHash> {
--- a/crates/conf/src/key.rs
+++ b/crates/conf/src/key.rs
@@ -20,9 +20,7 @@
 impl KeyHasher {
     /// Derives the hashing key from the fleet's secret.
     pub fn new(fleet_secret: &[u8]) -> Self {
-        Self {
-            key: blake3::derive_key(KEY_CONTEXT, fleet_secret),
-        }
+        Self { key: blake3::derive_key(KEY_CONTEXT, fleet_secret) }
     }
 
     /// Hashes one key. Looking the hash up in a map leaks nothing about the key itself.
--- a/crates/conf/src/render.rs
+++ b/crates/conf/src/render.rs
@@ -50,10 +50,7 @@
     let text = env.render_str(&template.body, &values).map_err(|e| {
         let line = e.line().map(|l| l as u32);
         let remedy = "correct the template's body";
-        ConfError {
-            line,
-            ..ConfError::new(&file, "body", e.to_string(), remedy)
-        }
+        ConfError { line, ..ConfError::new(&file, "body", e.to_string(), remedy) }
     })?;
     let rendered: Rendered = toml::from_str(&text).map_err(|e| toml_error(&file, &text, &e))?;
     let mut routes = rendered.route;
@@ -81,24 +78,14 @@
         (ParamKind::Flag, toml::Value::Boolean(_)) => return Ok(()),
         (kind, _) => {
             let problem = format!("value {value} is not of type {kind:?}");
-            return Err(ConfError::new(
-                file,
-                field(),
-                problem,
-                "give a value of the declared type",
-            ));
+            return Err(ConfError::new(file, field(), problem, "give a value of the declared type"));
         }
     };
     let low = param.min.is_some_and(|min| size < min);
     let high = param.max.is_some_and(|max| size > max);
     if low || high {
         let problem = format!("value {value} is out of bounds");
-        return Err(ConfError::new(
-            file,
-            field(),
-            problem,
-            "stay within min and max of the template",
-        ));
+        return Err(ConfError::new(file, field(), problem, "stay within min and max of the template"));
     }
     Ok(())
 }
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -56,6 +56,8 @@
     pub shares: u32,
     /// Bytes a second that the fleet may send across the link between regions, each way.
     pub link_bytes_per_s: u64,
+    /// Region in which the store stands; its daemons confirm each other while the store is down.
+    pub store_region: Option<base::Region>,
 }
 
 impl Default for Fleet {
@@ -65,6 +67,7 @@
             fresh_ms: 3_000,
             shares: 256,
             link_bytes_per_s: 3_000_000,
+            store_region: None,
         }
     }
 }
@@ -166,9 +169,7 @@
     pub fn match_route(&self, host: Option<&str>, path: &str, method: &str) -> Option<&Arc<Route>> {
         let matches = |r: &&Arc<Route>| {
             prefix_matches(&r.prefix, path)
-                && r.host
-                    .as_deref()
-                    .is_none_or(|h| host.is_some_and(|g| g.eq_ignore_ascii_case(h)))
+                && r.host.as_deref().is_none_or(|h| host.is_some_and(|g| g.eq_ignore_ascii_case(h)))
                 && (r.methods.is_empty() || r.methods.iter().any(|m| &**m == method))
         };
         let group = |segment: &str| self.routes.get(segment).and_then(|rs| rs.iter().find(matches));
@@ -188,6 +189,5 @@
 
 fn prefix_matches(prefix: &str, path: &str) -> bool {
     let prefix = prefix.trim_end_matches('/');
-    path.strip_prefix(prefix)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -28,14 +28,9 @@
 pub fn admit(view: &View, hasher: &KeyHasher, parts: &Parts, now: Instant) -> Result<Admitted, Refusal> {
     let conf = view.conf.as_ref().ok_or(Refusal::NotReady)?;
     let host = host(parts);
-    let route = conf
-        .match_route(host, parts.uri.path(), parts.method.as_str())
-        .ok_or(Refusal::NoRoute)?;
+    let route = conf.match_route(host, parts.uri.path(), parts.method.as_str()).ok_or(Refusal::NoRoute)?;
     if route.open {
-        return Ok(Admitted {
-            route: Arc::clone(route),
-            customer: None,
-        });
+        return Ok(Admitted { route: Arc::clone(route), customer: None });
     }
     let secret = key(&parts.headers).ok_or(Refusal::KeyMissing)?;
     if !view.is_current(now) && conf.fleet.stale_keys == StaleKeys::Refuse {
@@ -45,10 +40,7 @@
     if route.customer.as_ref().is_some_and(|owner| *owner != customer) {
         return Err(Refusal::KeyForbidden);
     }
-    Ok(Admitted {
-        route: Arc::clone(route),
-        customer: Some(customer),
-    })
+    Ok(Admitted { route: Arc::clone(route), customer: Some(customer) })
 }
 
 fn judge(view: &View, conf: &Snapshot, hasher: &KeyHasher, secret: &[u8]) -> Result<CustomerId, Refusal> {
@@ -62,10 +54,7 @@
 }
 
 fn host(parts: &Parts) -> Option<&str> {
-    let named = parts
-        .uri
-        .host()
-        .or_else(|| parts.headers.get(HOST)?.to_str().ok());
+    let named = parts.uri.host().or_else(|| parts.headers.get(HOST)?.to_str().ok());
     named.map(|h| h.rsplit_once(':').map_or(h, |(name, _)| name))
 }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -31,9 +31,7 @@
             async move { Ok::<_, Infallible>(proxy::serve(shared, req).await) }
         });
         let builder = auto::Builder::new(TokioExecutor::new());
-        let conn = builder
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
+        let conn = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let watched = graceful.watch(conn);
         shared.tracker.spawn(watched);
     }
--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -37,10 +37,7 @@
 
 impl From<Refusal> for Refused {
     fn from(refusal: Refusal) -> Self {
-        Self {
-            refusal,
-            retry_at: None,
-        }
+        Self { refusal, retry_at: None }
     }
 }
 
@@ -51,14 +48,8 @@
     let rep = match try_serve(&shared, req).await {
         Ok(rep) => rep,
         Err(refused) => {
-            shared
-                .metrics
-                .refusals
-                .with_label_values(&[refused.refusal.code()])
-                .inc();
-            let wait = refused
-                .retry_at
-                .map(|at| at.saturating_duration_since(Instant::now()));
+            shared.metrics.refusals.with_label_values(&[refused.refusal.code()]).inc();
+            let wait = refused.retry_at.map(|at| at.saturating_duration_since(Instant::now()));
             response(refused.refusal, wait)
         }
     };
@@ -74,26 +65,15 @@
     let (parts, body) = req.into_parts();
     let admitted = admit(&view, &shared.hasher, &parts, Instant::now())?;
     take_tokens(shared, &admitted).await?;
-    let body = body
-        .collect()
-        .await
-        .map_err(|_gone| Refusal::BadRequest)?
-        .to_bytes();
+    let body = body.collect().await.map_err(|_gone| Refusal::BadRequest)?.to_bytes();
     let deadline = Instant::now() + timeout(&parts, &admitted);
     let work = run(shared, &view, &admitted, &parts, body);
-    tokio::time::timeout_at(deadline.into(), work)
-        .await
-        .unwrap_or(Err(Refusal::TimedOut.into()))
+    tokio::time::timeout_at(deadline.into(), work).await.unwrap_or(Err(Refusal::TimedOut.into()))
 }
 
 fn timeout(parts: &Parts, admitted: &Admitted) -> Duration {
-    let stated = parts
-        .headers
-        .get(DEADLINE_HEADER)
-        .and_then(|v| v.to_str().ok()?.parse().ok());
-    stated.map_or(admitted.route.timeout, |ms| {
-        Duration::from_millis(ms).min(admitted.route.timeout)
-    })
+    let stated = parts.headers.get(DEADLINE_HEADER).and_then(|v| v.to_str().ok()?.parse().ok());
+    stated.map_or(admitted.route.timeout, |ms| Duration::from_millis(ms).min(admitted.route.timeout))
 }
 
 async fn take_tokens(shared: &Shared, admitted: &Admitted) -> Result<(), Refused> {
@@ -107,16 +87,10 @@
         match pool.take(admitted.route.cost, Instant::now()) {
             Take::Taken => return Ok(()),
             Take::OverRate(at) => {
-                return Err(Refused {
-                    refusal: Refusal::OverRate,
-                    retry_at: Some(at),
-                });
+                return Err(Refused { refusal: Refusal::OverRate, retry_at: Some(at) });
             }
             Take::Empty => {
-                shared.report(Report::Demand {
-                    customer: customer.clone(),
-                    tokens: admitted.route.cost,
-                });
+                shared.report(Report::Demand { customer: customer.clone(), tokens: admitted.route.cost });
                 if tokio::time::timeout_at(until.into(), changed).await.is_err() {
                     return Err(Refusal::TokensUnconfirmed.into());
                 }
@@ -132,16 +106,20 @@
     parts: &Parts,
     body: Bytes,
 ) -> Result<Response<AnswerBody>, Refused> {
-    let service = view
-        .services
-        .get(&admitted.route.service)
-        .ok_or(Refusal::NoServer)?;
+    let service = view.services.get(&admitted.route.service).ok_or(Refusal::NoServer)?;
     let repeatable = admitted.route.is_repeatable(parts.method.as_str());
     let mut rng = rand::rngs::SmallRng::from_rng(&mut rand::rng());
     let mut tried: SmallVec<[ServerId; MAX_TRIES]> = SmallVec::new();
     let mut last = Refusal::NoServer;
     while tried.len() < MAX_TRIES {
-        let Some(server) = route::choose(&service.servers, &view.place, &tried, &mut rng) else {
+        let want = route::Want {
+            place: &view.place,
+            tried: &tried,
+            repeatable,
+            cross_region: service.service.cross_region,
+            now: Instant::now(),
+        };
+        let Some(server) = route::choose(&service.servers, &want, &mut rng) else {
             break;
         };
         tried.push(server.info.id.clone());
@@ -202,10 +180,7 @@
     let mut head = head;
     head.headers.remove(REASON_HEADER);
     head.headers.remove(RUN_HEADER);
-    Ok(Response::from_parts(
-        head,
-        Full::new(bytes).map_err(|never| match never {}).boxed(),
-    ))
+    Ok(Response::from_parts(head, Full::new(bytes).map_err(|never| match never {}).boxed()))
 }
 
 fn outgoing(parts: &Parts, body: Bytes) -> Request<Full<Bytes>> {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -51,19 +51,13 @@
             Some(sender) => sender,
             None => connect(addr).await?,
         };
-        let rep = sender
-            .send_request(req)
-            .await
-            .map_err(|_broken| SendError::Broken)?;
+        let rep = sender.send_request(req).await.map_err(|_broken| SendError::Broken)?;
         Ok((rep, sender))
     }
 
     /// Keeps a connection for the next request.
     pub fn give_back(&self, addr: SocketAddr, sender: SendRequest<RequestBody>) {
-        let mut idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let list = idle.entry(addr).or_default();
         if list.len() < MAX_IDLE {
             list.push(sender);
@@ -71,10 +65,7 @@
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
-        let mut idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut idle = self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let list = idle.get_mut(&addr)?;
         list.retain(|s| !s.is_closed());
         let ready = list.iter().rposition(SendRequest::is_ready)?;
@@ -83,13 +74,10 @@
 }
 
 async fn connect(addr: SocketAddr) -> Result<SendRequest<RequestBody>, SendError> {
-    let stream = TcpStream::connect(addr)
-        .await
-        .map_err(|_refused| SendError::Connect)?;
+    let stream = TcpStream::connect(addr).await.map_err(|_refused| SendError::Connect)?;
     let _ = stream.set_nodelay(true);
-    let (sender, conn) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_refused| SendError::Connect)?;
+    let (sender, conn) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|_refused| SendError::Connect)?;
     tokio::spawn(conn);
     Ok(sender)
 }
--- a/crates/fake/src/fleet.rs
+++ b/crates/fake/src/fleet.rs
@@ -134,10 +134,7 @@
         daemon.me.incarnation = wall_ms + daemon.life;
         daemon.view = Arc::new(View::empty(daemon.me.place.clone()));
         let seed = daemon.life << 32 | index as u64;
-        let setup = Setup {
-            peers,
-            ..Setup::new(daemon.me.clone(), seed)
-        };
+        let setup = Setup { peers, ..Setup::new(daemon.me.clone(), seed) };
         daemon.kernel = Some(Kernel::new(setup, now));
         let offset = Duration::from_micros(index as u64 * 997 % (TICK_MS * 1_000));
         self.schedule(offset, index, Due::Tick);
@@ -172,10 +169,7 @@
 
     /// Whether a stopping daemon has finished.
     pub fn is_finished(&self, index: Index) -> bool {
-        self.daemons[index]
-            .kernel
-            .as_ref()
-            .is_some_and(Kernel::is_finished)
+        self.daemons[index].kernel.as_ref().is_some_and(Kernel::is_finished)
     }
 
     /// Loses every message from `a` to `b`, or in both ways.
@@ -224,12 +218,7 @@
     pub fn call(&mut self, index: Index, method: &str, path: &str, body: &str) -> Ticket {
         self.next_ticket += 1;
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
-        let req = ApiReq {
-            method: method.into(),
-            path: path.into(),
-            query: query.into(),
-            body: body.into(),
-        };
+        let req = ApiReq { method: method.into(), path: path.into(), query: query.into(), body: body.into() };
         let ticket = self.next_ticket;
         self.input(index, Input::Api { ticket, req });
         ticket
@@ -303,8 +292,7 @@
     fn schedule(&mut self, delay: Duration, index: Index, due: Due) {
         self.next_event += 1;
         self.queue.push(Reverse((self.now + delay, self.next_event)));
-        self.events
-            .insert(self.next_event, (index, self.daemons[index].life, due));
+        self.events.insert(self.next_event, (index, self.daemons[index].life, due));
     }
 
     fn happen(&mut self, index: Index, life: u64, due: Due) {
@@ -325,14 +313,7 @@
                 let Ok(e) = wire::open(&self.secret, &sealed) else {
                     return;
                 };
-                self.input(
-                    index,
-                    Input::Msg {
-                        from: e.from,
-                        incarnation: e.incarnation,
-                        msg: e.msg,
-                    },
-                );
+                self.input(index, Input::Msg { from: e.from, incarnation: e.incarnation, msg: e.msg });
             }
             Due::StoreResult(input) => self.input(index, input),
             Due::Tick => {
@@ -357,12 +338,7 @@
         match output {
             Output::Send { to, msg } => {
                 let me = &self.daemons[index].me;
-                let envelope = Envelope {
-                    from: me.id,
-                    to,
-                    incarnation: me.incarnation,
-                    msg,
-                };
+                let envelope = Envelope { from: me.id, to, incarnation: me.incarnation, msg };
                 let sealed = wire::seal(&self.secret, &envelope);
                 self.daemons[index].bytes_sent += sealed.len() as u64;
                 self.daemons[index].messages_sent += 1;
--- a/crates/fake/src/net.rs
+++ b/crates/fake/src/net.rs
@@ -38,8 +38,6 @@
         }
         let copies = if rng.random::<f64>() < self.doubling { 2 } else { 1 };
         let latency = if from.1.region == to.1.region { NEAR } else { FAR };
-        (0..copies)
-            .map(|_| latency + self.jitter.mul_f64(rng.random::<f64>()))
-            .collect()
+        (0..copies).map(|_| latency + self.jitter.mul_f64(rng.random::<f64>())).collect()
     }
 }
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -53,11 +53,7 @@
             return Err(StoreError::Down);
         }
         let is_write = matches!(op, StoreOp::Commit(_) | StoreOp::PutObject { .. });
-        let count = if is_write {
-            &mut self.writes
-        } else {
-            &mut self.reads
-        };
+        let count = if is_write { &mut self.writes } else { &mut self.reads };
         *count += 1;
         let res = self.mem.apply(op);
         if is_write && rng.random::<f64>() < self.lost_answers {
--- a/crates/health/src/consecutive.rs
+++ b/crates/health/src/consecutive.rs
@@ -27,10 +27,7 @@
 impl Consecutive {
     /// Makes the area.
     pub fn new(_setup: &Setup) -> Self {
-        Self {
-            failures: HashMap::new(),
-            refresh: None,
-        }
+        Self { failures: HashMap::new(), refresh: None }
     }
 }
 
@@ -50,11 +47,7 @@
         *count += 1;
         if *count == THRESHOLD {
             event!(Warn, ServerAvoided, "server={id} kind={:?}", outcome.kind);
-            let verdict = Verdict {
-                weight: AVOIDED_WEIGHT,
-                trial: true,
-                lapses: cx.now + HOLD,
-            };
+            let verdict = Verdict { weight: AVOIDED_WEIGHT, trial: true, lapses: cx.now + HOLD };
             cx.board.verdicts.insert(id.clone(), verdict);
             self.refresh = Some(verdict.lapses);
             cx.publish();
--- a/crates/kernel/src/api.rs
+++ b/crates/kernel/src/api.rs
@@ -46,22 +46,12 @@
 impl ApiRep {
     /// A good answer.
     pub fn ok(body: impl Serialize) -> Self {
-        Self {
-            status: 200,
-            body: serde_json::to_value(body).unwrap_or(Value::Null),
-        }
+        Self { status: 200, body: serde_json::to_value(body).unwrap_or(Value::Null) }
     }
 
     /// An error with a stable code, the problem and its remedy.
     pub fn error(status: u16, code: &str, problem: &str, remedy: &str) -> Self {
-        let error = ApiError {
-            error: code,
-            problem,
-            remedy,
-        };
-        Self {
-            status,
-            body: serde_json::to_value(error).unwrap_or(Value::Null),
-        }
+        let error = ApiError { error: code, problem, remedy };
+        Self { status, body: serde_json::to_value(error).unwrap_or(Value::Null) }
     }
 }
--- a/crates/kernel/src/board.rs
+++ b/crates/kernel/src/board.rs
@@ -25,12 +25,7 @@
 impl Me {
     /// Makes the description of this daemon.
     pub fn new(id: DaemonId, api: DaemonId, region: &str, data_centre: &str, incarnation: u64) -> Self {
-        Self {
-            id,
-            api,
-            place: Place::new(region, data_centre),
-            incarnation,
-        }
+        Self { id, api, place: Place::new(region, data_centre), incarnation }
     }
 }
 
@@ -101,12 +96,17 @@
     pub verdicts: HashMap<ServerId, Verdict>,
     /// Until when this daemon's view counts as current. Written by freshness.
     pub current_until: Option<Instant>,
+    /// Highest configuration version known to be committed, in force here or not. Never falls.
+    /// Written by configuration, which handles each event before freshness does.
+    pub head_seen: Version,
     /// Whether the store does not answer this daemon. Written by freshness.
     pub store_down: bool,
     /// Version of the `shares` row that this daemon knows. Written by rate limiting.
     pub shares_version: Version,
     /// Whether this daemon may answer pulls for the `shares` row. Written by rate limiting.
     pub shares_known: bool,
+    /// Holders of rate shares as of `shares_version`, sorted. Written by rate limiting.
+    pub holders: Arc<[DaemonId]>,
     /// Whether the daemon is stopping. Written by the kernel.
     pub stopping: bool,
 }
@@ -123,21 +123,18 @@
             withdrawn_digest: 0,
             verdicts: HashMap::new(),
             current_until: None,
+            head_seen: 0,
             store_down: false,
             shares_version: 0,
             shares_known: false,
+            holders: Arc::from([]),
             stopping: false,
         }
     }
 
     /// Ids of the daemons believed to work, this one included, sorted.
     pub fn alive(&self) -> Vec<DaemonId> {
-        let mut ids: Vec<_> = self
-            .members
-            .values()
-            .filter(|m| m.is_alive())
-            .map(|m| m.id)
-            .collect();
+        let mut ids: Vec<_> = self.members.values().filter(|m| m.is_alive()).map(|m| m.id).collect();
         ids.push(self.me.id);
         ids.sort_unstable();
         ids
--- a/crates/kernel/src/machine.rs
+++ b/crates/kernel/src/machine.rs
@@ -38,13 +38,7 @@
 impl Setup {
     /// Makes a setup without peers and with an empty fleet secret, as tests use it.
     pub fn new(me: Me, seed: u64) -> Self {
-        Self {
-            me,
-            seed,
-            peers: Vec::new(),
-            hasher: conf::KeyHasher::new(b""),
-            registry: Registry::new(),
-        }
+        Self { me, seed, peers: Vec::new(), hasher: conf::KeyHasher::new(b""), registry: Registry::new() }
     }
 }
 
@@ -62,9 +56,7 @@
 
 impl std::fmt::Debug for Kernel {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Kernel")
-            .field("board", &self.board)
-            .finish_non_exhaustive()
+        f.debug_struct("Kernel").field("board", &self.board).finish_non_exhaustive()
     }
 }
 
@@ -108,13 +100,7 @@
 
     /// Handles one input and returns what the driver shall do.
     pub fn handle(&mut self, now: Instant, wall_ms: u64, input: Input) -> Vec<Output> {
-        let mut turn = Turn {
-            now,
-            wall_ms,
-            outputs: Vec::new(),
-            events: VecDeque::new(),
-            dirty: false,
-        };
+        let mut turn = Turn { now, wall_ms, outputs: Vec::new(), events: VecDeque::new(), dirty: false };
         if !self.started {
             self.started = true;
             self.each(&mut turn, |area, cx| area.on_start(cx));
@@ -157,12 +143,7 @@
             }
         }
         let problem = format!("nothing answers {} {}", req.method, req.path);
-        let rep = ApiRep::error(
-            404,
-            "no-such-call",
-            &problem,
-            "see docs/OPERATING.md for the API's calls",
-        );
+        let rep = ApiRep::error(404, "no-such-call", &problem, "see docs/OPERATING.md for the API's calls");
         turn.outputs.push(Output::Answer { ticket, rep });
     }
 
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -49,19 +49,13 @@
         let at = nanos(self.base, now);
         if at < self.lapses.load(Acquire) {
             let cost = i64::from(cost);
-            let taken = self
-                .tokens
-                .fetch_update(AcqRel, Acquire, |n| (n >= cost).then_some(n - cost));
+            let taken = self.tokens.fetch_update(AcqRel, Acquire, |n| (n >= cost).then_some(n - cost));
             if taken.is_ok() {
                 return Take::Taken;
             }
         }
         let over = self.over_until.load(Acquire);
-        if at < over {
-            Take::OverRate(self.base + Duration::from_nanos(over))
-        } else {
-            Take::Empty
-        }
+        if at < over { Take::OverRate(self.base + Duration::from_nanos(over)) } else { Take::Empty }
     }
 
     /// Replaces the tokens; returns those that were left of the earlier ones.
@@ -99,10 +93,7 @@
 impl Pools {
     /// Makes an empty set; `base` is the origin of its stored times.
     pub fn new(base: Instant) -> Self {
-        Self {
-            base,
-            by_customer: ArcSwap::default(),
-        }
+        Self { base, by_customer: ArcSwap::default() }
     }
 
     /// The pool of a customer, if it has one.
@@ -114,9 +105,7 @@
     pub fn set_customers<'a>(&self, customers: impl Iterator<Item = &'a CustomerId>) {
         let old = self.by_customer.load();
         let fresh = || Arc::new(Pool::new(self.base));
-        let new = customers
-            .map(|c| (c.clone(), old.get(c).map_or_else(fresh, Arc::clone)))
-            .collect();
+        let new = customers.map(|c| (c.clone(), old.get(c).map_or_else(fresh, Arc::clone))).collect();
         self.by_customer.store(Arc::new(new));
     }
 }
--- a/crates/kernel/src/view.rs
+++ b/crates/kernel/src/view.rs
@@ -86,10 +86,7 @@
         let mut services = HashMap::new();
         if let Some(conf) = &board.conf {
             for (name, service) in &conf.services {
-                let view = ServiceView {
-                    service: Arc::clone(service),
-                    servers: Vec::new(),
-                };
+                let view = ServiceView { service: Arc::clone(service), servers: Vec::new() };
                 services.insert(name.clone(), view);
             }
         }
@@ -112,18 +109,11 @@
             }));
         }
         let region = &board.me.place.region;
-        let others = board
-            .members
-            .values()
-            .filter(|m| m.is_alive() && m.place.region == *region)
-            .count();
+        let others = board.members.values().filter(|m| m.is_alive() && m.place.region == *region).count();
         View {
             conf: board.conf.clone(),
             withdrawn: Arc::clone(&board.withdrawn),
-            services: services
-                .into_iter()
-                .map(|(name, view)| (name, Arc::new(view)))
-                .collect(),
+            services: services.into_iter().map(|(name, view)| (name, Arc::new(view))).collect(),
             current_until: board.current_until,
             place: board.me.place.clone(),
             region_daemons: others as u32 + 1,
--- a/crates/limit/src/split.rs
+++ b/crates/limit/src/split.rs
@@ -23,10 +23,7 @@
 impl StaticSplit {
     /// Makes the area.
     pub fn new(_setup: &Setup) -> Self {
-        Self {
-            buckets: BTreeMap::new(),
-            last: None,
-        }
+        Self { buckets: BTreeMap::new(), last: None }
     }
 }
 
--- a/crates/member/src/fresh.rs
+++ b/crates/member/src/fresh.rs
@@ -29,10 +29,7 @@
 impl Fresh {
     /// Makes the area.
     pub fn new(_setup: &Setup) -> Self {
-        Self {
-            next_read: None,
-            read: None,
-        }
+        Self { next_read: None, read: None }
     }
 }
 
@@ -68,16 +65,9 @@
             }
         }
         if let Ok(StoreRep::Rows(rows)) = res {
-            let fresh_ms = cx
-                .board
-                .conf
-                .as_ref()
-                .map_or(DEFAULT_FRESH_MS, |c| c.fleet.fresh_ms);
+            let fresh_ms = cx.board.conf.as_ref().map_or(DEFAULT_FRESH_MS, |c| c.fleet.fresh_ms);
             cx.board.current_until = Some(asked_at + Duration::from_millis(fresh_ms));
-            cx.emit(Event::FleetRows {
-                rows: Arc::from(rows.as_slice()),
-                asked_at,
-            });
+            cx.emit(Event::FleetRows { rows: Arc::from(rows.as_slice()), asked_at });
             cx.publish();
         }
     }
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -46,11 +46,7 @@
     }
 
     fn beat(&mut self, cx: &mut Cx<'_>) {
-        let state = if cx.board.stopping {
-            MemberState::Left
-        } else {
-            MemberState::Alive
-        };
+        let state = if cx.board.stopping { MemberState::Left } else { MemberState::Alive };
         let me = &cx.board.me;
         let info = MemberInfo {
             id: me.id,
@@ -64,12 +60,7 @@
         targets.extend(self.seeds.iter().filter(|s| !cx.board.members.contains_key(s)));
         for to in targets {
             if to != cx.board.me.id {
-                cx.send(
-                    to,
-                    Msg::Member(MemberMsg::Update {
-                        members: vec![info.clone()],
-                    }),
-                );
+                cx.send(to, Msg::Member(MemberMsg::Update { members: vec![info.clone()] }));
             }
         }
     }
@@ -77,10 +68,7 @@
     fn register(&mut self, cx: &mut Cx<'_>) {
         let key = format!("{ROWS}{}", cx.board.me.id);
         let value = json!({"api": cx.board.me.api.to_string()}).to_string();
-        let commit = Commit {
-            checks: vec![],
-            writes: vec![Write::put(&key, &value)],
-        };
+        let commit = Commit { checks: vec![], writes: vec![Write::put(&key, &value)] };
         self.write = Some(cx.store(StoreOp::Commit(commit)));
     }
 
@@ -97,11 +85,7 @@
             return;
         }
         self.heard.insert(info.id, cx.now);
-        let known = cx
-            .board
-            .members
-            .get(&info.id)
-            .is_some_and(|m| m.incarnation == info.incarnation);
+        let known = cx.board.members.get(&info.id).is_some_and(|m| m.incarnation == info.incarnation);
         if !known {
             event!(Info, MemberUp, "daemon={}", info.id);
             let member = Member {
@@ -121,12 +105,8 @@
 
     fn drop_silent(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now;
-        let silent: Vec<_> = self
-            .heard
-            .iter()
-            .filter(|(_, at)| now >= **at + DEAD_AFTER)
-            .map(|(id, _)| *id)
-            .collect();
+        let silent: Vec<_> =
+            self.heard.iter().filter(|(_, at)| now >= **at + DEAD_AFTER).map(|(id, _)| *id).collect();
         for id in silent {
             self.heard.remove(&id);
             cx.board.members.remove(&id);
@@ -172,9 +152,7 @@
         if self.read == Some(token) {
             self.read = None;
             if let Ok(StoreRep::Rows(rows)) = res {
-                let ids = rows
-                    .iter()
-                    .filter_map(|(key, _)| key.strip_prefix(ROWS)?.parse::<DaemonId>().ok());
+                let ids = rows.iter().filter_map(|(key, _)| key.strip_prefix(ROWS)?.parse::<DaemonId>().ok());
                 self.seeds.extend(ids);
                 self.seeds.sort_unstable();
                 self.seeds.dedup();
--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -42,12 +42,7 @@
         };
         let peers: Vec<_> = cx.board.members.keys().copied().collect();
         for to in peers {
-            cx.send(
-                to,
-                Msg::Server(ServerMsg::Update {
-                    servers: vec![info.clone()],
-                }),
-            );
+            cx.send(to, Msg::Server(ServerMsg::Update { servers: vec![info.clone()] }));
         }
         take(cx, info);
         ApiRep::ok(json!({ "ttl_ms": TTL_MS }))
@@ -62,32 +57,15 @@
     let is_new = old.is_none();
     let was = old.map(|o| o.info.state);
     let ready_since = old.and_then(|o| o.ready_since);
-    let ready_since = if info.state == ServerState::Ready {
-        ready_since.or(Some(cx.now))
-    } else {
-        None
-    };
+    let ready_since = if info.state == ServerState::Ready { ready_since.or(Some(cx.now)) } else { None };
     if is_new {
-        event!(
-            Info,
-            ServerAnnounced,
-            "server={} service={}",
-            info.id,
-            info.service
-        );
+        event!(Info, ServerAnnounced, "server={} service={}", info.id, info.service);
     } else if info.state == ServerState::Draining && was != Some(ServerState::Draining) {
         event!(Info, ServerLeaving, "server={}", info.id);
     }
     let lapses = cx.now + Duration::from_millis(u64::from(info.ttl_ms));
     let changed = was != Some(info.state);
-    cx.board.servers.insert(
-        info.id.clone(),
-        ServerEntry {
-            info,
-            lapses,
-            ready_since,
-        },
-    );
+    cx.board.servers.insert(info.id.clone(), ServerEntry { info, lapses, ready_since });
     if changed {
         cx.emit(Event::ServersChanged);
     }
@@ -122,13 +100,8 @@
 
     fn on_tick(&mut self, cx: &mut Cx<'_>) {
         let now = cx.now;
-        let lapsed: Vec<_> = cx
-            .board
-            .servers
-            .iter()
-            .filter(|(_, s)| s.lapses <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let lapsed: Vec<_> =
+            cx.board.servers.iter().filter(|(_, s)| s.lapses <= now).map(|(id, _)| id.clone()).collect();
         for id in lapsed {
             cx.board.servers.remove(&id);
             event!(Warn, ServerLeaving, "server={id} lapsed");
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,9 +3,12 @@
 //! ```
 //! use rand::SeedableRng;
 //! let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
-//! assert!(route::choose(&[], &base::Place::new("meseta", "barva"), &[], &mut rng).is_none());
+//! let place = base::Place::new("meseta", "barva");
+//! let now = std::time::Instant::now();
+//! let want = route::Want { place: &place, tried: &[], repeatable: true, cross_region: true, now };
+//! assert!(route::choose(&[], &want, &mut rng).is_none());
 //! ```
 
 pub mod pick;
 
-pub use pick::choose;
+pub use pick::{Want, choose};
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -35,12 +35,7 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
         let client = Client::builder(TokioExecutor::new()).build(connector);
-        Self {
-            addr,
-            caller: caller.into(),
-            timeout,
-            client,
-        }
+        Self { addr, caller: caller.into(), timeout, client }
     }
 
     async fn send(&self, method: Method, path: &str, body: Bytes) -> Result<(StatusCode, Bytes), StoreError> {
@@ -50,28 +45,18 @@
             .uri(uri)
             .header(CALLER_HEADER, &*self.caller)
             .body(Full::new(body))
-            .map_err(|e| StoreError::Refused {
-                problem: e.to_string().into(),
-            })?;
+            .map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
         let work = async {
-            let rep = self.client.request(req).await.map_err(|e| {
-                if e.is_connect() {
-                    StoreError::Down
-                } else {
-                    StoreError::Ambiguous
-                }
-            })?;
-            let status = rep.status();
-            let body = rep
-                .into_body()
-                .collect()
+            let rep = self
+                .client
+                .request(req)
                 .await
-                .map_err(|_lost| StoreError::Ambiguous)?;
+                .map_err(|e| if e.is_connect() { StoreError::Down } else { StoreError::Ambiguous })?;
+            let status = rep.status();
+            let body = rep.into_body().collect().await.map_err(|_lost| StoreError::Ambiguous)?;
             Ok((status, body.to_bytes()))
         };
-        tokio::time::timeout(self.timeout, work)
-            .await
-            .unwrap_or(Err(StoreError::Ambiguous))
+        tokio::time::timeout(self.timeout, work).await.unwrap_or(Err(StoreError::Ambiguous))
     }
 }
 
@@ -83,15 +68,11 @@
         return StoreError::Ambiguous;
     }
     let problem = format!("{status}: {}", String::from_utf8_lossy(body));
-    serde_json::from_slice(body).unwrap_or(StoreError::Refused {
-        problem: problem.into(),
-    })
+    serde_json::from_slice(body).unwrap_or(StoreError::Refused { problem: problem.into() })
 }
 
 fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(|e| StoreError::Refused {
-        problem: e.to_string().into(),
-    })
+    serde_json::from_slice(body).map_err(|e| StoreError::Refused { problem: e.to_string().into() })
 }
 
 fn encode_query(text: &str) -> String {
@@ -126,9 +107,8 @@
     }
 
     async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
-        let body = serde_json::to_vec(commit).map_err(|e| StoreError::Refused {
-            problem: e.to_string().into(),
-        })?;
+        let body =
+            serde_json::to_vec(commit).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
         match self.send(Method::POST, "/commit", body.into()).await? {
             (StatusCode::OK, body) => decode(&body),
             (status, body) => Err(refused(status, &body)),
@@ -149,10 +129,7 @@
 
     async fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
         let path = format!("/objects/{}", encode_query(name));
-        match self
-            .send(Method::PUT, &path, Bytes::copy_from_slice(bytes))
-            .await?
-        {
+        match self.send(Method::PUT, &path, Bytes::copy_from_slice(bytes)).await? {
             (StatusCode::OK, _) => Ok(()),
             (status, body) => Err(refused(status, &body)),
         }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -48,10 +48,7 @@
     match op {
         StoreOp::Get { key } => store.get(key).await.map(StoreRep::Row),
         StoreOp::Range { prefix } => store.range(prefix).await.map(StoreRep::Rows),
-        StoreOp::Commit(commit) => store
-            .commit(commit)
-            .await
-            .map(|version| StoreRep::Committed { version }),
+        StoreOp::Commit(commit) => store.commit(commit).await.map(|version| StoreRep::Committed { version }),
         StoreOp::GetObject { name } => store.get_object(name).await.map(StoreRep::Object),
         StoreOp::PutObject { name, bytes } => store.put_object(name, bytes).await.map(|()| StoreRep::Stored),
     }
--- a/crates/store/src/mem.rs
+++ b/crates/store/src/mem.rs
@@ -41,20 +41,14 @@
         for check in &commit.checks {
             let present = self.rows.get(&check.key).map_or(0, |r| r.version);
             if present != check.version {
-                return Err(StoreError::Conflict {
-                    key: check.key.clone(),
-                    present,
-                });
+                return Err(StoreError::Conflict { key: check.key.clone(), present });
             }
         }
         self.version += 1;
         for write in &commit.writes {
             match &write.value {
                 Some(value) => {
-                    let row = Row {
-                        value: value.clone(),
-                        version: self.version,
-                    };
+                    let row = Row { value: value.clone(), version: self.version };
                     self.rows.insert(write.key.clone(), row);
                 }
                 None => {
--- a/crates/store/src/op.rs
+++ b/crates/store/src/op.rs
@@ -33,18 +33,12 @@
 impl Write {
     /// Writes a row.
     pub fn put(key: &str, value: &str) -> Self {
-        Self {
-            key: key.into(),
-            value: Some(value.into()),
-        }
+        Self { key: key.into(), value: Some(value.into()) }
     }
 
     /// Deletes a row.
     pub fn delete(key: &str) -> Self {
-        Self {
-            key: key.into(),
-            value: None,
-        }
+        Self { key: key.into(), value: None }
     }
 }
 
--- a/crates/sync/src/area.rs
+++ b/crates/sync/src/area.rs
@@ -13,7 +13,7 @@
 use crate::head::{HEAD_KEY, Head};
 
 kernel::inventory::submit! {
-    AreaEntry { name: "sync", order: 40, build: |setup| Box::new(Sync::new(setup)) }
+    AreaEntry { name: "sync", order: 15, build: |setup| Box::new(Sync::new(setup)) }
 }
 
 /// A change on its way into the store.
@@ -43,13 +43,7 @@
     /// Makes the area.
     pub fn new(setup: &Setup) -> Self {
         let hasher = setup.hasher.clone();
-        Self {
-            hasher,
-            source: Source::default(),
-            row_version: 0,
-            fetch: None,
-            pending: None,
-        }
+        Self { hasher, source: Source::default(), row_version: 0, fetch: None, pending: None }
     }
 
     fn see_head(&mut self, cx: &mut Cx<'_>, row: &Row) {
@@ -59,9 +53,7 @@
         let Ok(head) = serde_json::from_str::<Head>(&row.value) else {
             return;
         };
-        let token = cx.store(StoreOp::GetObject {
-            name: head.root.clone(),
-        });
+        let token = cx.store(StoreOp::GetObject { name: head.root.clone() });
         self.fetch = Some((token, head, row.version));
     }
 
@@ -101,20 +93,9 @@
         let root: Box<str> = blake3::hash(&bytes).to_hex().as_str().into();
         let change = format!("{:016x}{:016x}", cx.rng.next_u64(), cx.rng.next_u64()).into();
         answer["version"] = json!(version);
-        let head = Head {
-            version,
-            root: root.clone(),
-            change,
-        };
+        let head = Head { version, root: root.clone(), change };
         let token = cx.store(StoreOp::PutObject { name: root, bytes });
-        self.pending = Some(Pending {
-            ticket,
-            token,
-            head,
-            source,
-            stored: false,
-            answer,
-        });
+        self.pending = Some(Pending { ticket, token, head, source, stored: false, answer });
     }
 
     fn advance(&mut self, cx: &mut Cx<'_>, mut pending: Pending, res: &Result<StoreRep, StoreError>) {
@@ -122,14 +103,8 @@
             Ok(StoreRep::Stored) if !pending.stored => {
                 pending.stored = true;
                 let value = serde_json::to_string(&pending.head).unwrap_or_default();
-                let checks = vec![Check {
-                    key: HEAD_KEY.into(),
-                    version: self.row_version,
-                }];
-                let commit = Commit {
-                    checks,
-                    writes: vec![Write::put(HEAD_KEY, &value)],
-                };
+                let checks = vec![Check { key: HEAD_KEY.into(), version: self.row_version }];
+                let commit = Commit { checks, writes: vec![Write::put(HEAD_KEY, &value)] };
                 pending.token = cx.store(StoreOp::Commit(commit));
                 self.pending = Some(pending);
             }
@@ -161,10 +136,8 @@
         let give: GiveKey = match serde_json::from_slice(body) {
             Ok(give) => give,
             Err(e) => {
-                return cx.answer(
-                    ticket,
-                    ApiRep::error(400, "bad-key", &e.to_string(), "send name and customer"),
-                );
+                return cx
+                    .answer(ticket, ApiRep::error(400, "bad-key", &e.to_string(), "send name and customer"));
             }
         };
         let secret = format!("{:016x}{:016x}", cx.rng.next_u64(), cx.rng.next_u64());
--- a/crates/sync/src/edit.rs
+++ b/crates/sync/src/edit.rs
@@ -39,18 +39,12 @@
             let keys = std::mem::take(&mut next.key);
             next = (**new).clone();
             let named: Vec<_> = next.key.iter().map(|k| k.name.clone()).collect();
-            next.key
-                .extend(keys.into_iter().filter(|k| !named.contains(&k.name)));
+            next.key.extend(keys.into_iter().filter(|k| !named.contains(&k.name)));
         }
         Edit::Give(key) => {
             if next.key.iter().any(|k| k.name == key.name) {
                 let field = format!("key[{}].name", key.name);
-                return Err(ConfError::new(
-                    "keys",
-                    field,
-                    "name used twice",
-                    "choose another name",
-                ));
+                return Err(ConfError::new("keys", field, "name used twice", "choose another name"));
             }
             next.key.push(key.clone());
         }
@@ -59,12 +53,7 @@
             next.key.retain(|k| k.name != *name);
             if next.key.len() == before {
                 let field = format!("key[{name}]");
-                return Err(ConfError::new(
-                    "keys",
-                    field,
-                    "no such key",
-                    "see `pomeloctl keys list`",
-                ));
+                return Err(ConfError::new("keys", field, "no such key", "see `pomeloctl keys list`"));
             }
         }
     }
--- a/crates/wire/src/bulk.rs
+++ b/crates/wire/src/bulk.rs
@@ -24,9 +24,7 @@
     type Error = io::Error;
 
     fn serialize(self: std::pin::Pin<&mut Self>, item: &T) -> Result<Bytes, Self::Error> {
-        postcard::to_stdvec(item)
-            .map(Bytes::from)
-            .map_err(io::Error::other)
+        postcard::to_stdvec(item).map(Bytes::from).map_err(io::Error::other)
     }
 }
 
@@ -40,7 +38,5 @@
 
 /// Framing of the `tarpc` connection, bounded by [`MAX_FRAME_BYTES`].
 pub fn frames() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES + 1024)
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES + 1024).new_codec()
 }
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -41,9 +41,7 @@
         if secret.len() < MIN_SECRET_BYTES {
             return Err(SecretError { bytes: secret.len() });
         }
-        Ok(Self {
-            key: blake3::derive_key(SECRET_CONTEXT, secret),
-        })
+        Ok(Self { key: blake3::derive_key(SECRET_CONTEXT, secret) })
     }
 }
 
