Make one request's way whole: framing, matched answers, fair queue, retry budget, claims, explanations

Cause: the thin path trusted idle connections and unmatched answers, answered run=unknown for requests that were never sent, passed keys in queries on, and knew no queue, budget or Idempotency-Keys. Change: edge splits into stages (framing, hygiene, admit, dedupe, gate, proxy, attempt, upstream, stream); route gains a deficit-round-robin queue, a retry budget and an adaptive limit; the daemon answers /v1/explain/request/ID.

--- a/bins/pomelod/src/api.rs
+++ b/bins/pomelod/src/api.rs
@@ -1,8 +1,10 @@
 //! HTTP for operators and backend servers, and the metrics page.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use edge::Shared;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -18,18 +20,28 @@
 /// Largest body on the operator API, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Path under which one request's decisions are read, by its id.
+const EXPLAIN_REQUEST: &str = "/v1/explain/request/";
+
 /// Serves the operator API.
-pub async fn listen(listener: TcpListener, calls: mpsc::Sender<ApiCall>, registry: Registry) {
+pub async fn listen(
+    listener: TcpListener,
+    calls: mpsc::Sender<ApiCall>,
+    registry: Registry,
+    shared: Arc<Shared>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
         };
         let calls = calls.clone();
         let registry = registry.clone();
+        let shared = Arc::clone(&shared);
         let service = service_fn(move |req| {
             let calls = calls.clone();
             let registry = registry.clone();
-            async move { Ok::<_, Infallible>(answer(req, calls, registry).await) }
+            let shared = Arc::clone(&shared);
+            async move { Ok::<_, Infallible>(answer(req, calls, registry, &shared).await) }
         });
         let conn = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         tokio::spawn(conn);
@@ -40,12 +52,16 @@
     req: Request<Incoming>,
     calls: mpsc::Sender<ApiCall>,
     registry: Registry,
+    shared: &Shared,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() == "/metrics" {
         let text = TextEncoder::new().encode_to_string(&registry.gather()).unwrap_or_default();
         return Response::new(Full::new(text.into()));
     }
-    let rep = ask(req, calls).await;
+    let rep = match req.uri().path().strip_prefix(EXPLAIN_REQUEST) {
+        Some(id) => explain(shared, id),
+        None => ask(req, calls).await,
+    };
     let body = Full::new(Bytes::from(rep.body.to_string()));
     let mut answer = Response::new(body);
     *answer.status_mut() = StatusCode::from_u16(rep.status).unwrap_or_default();
@@ -53,6 +69,13 @@
     answer
 }
 
+fn explain(shared: &Shared, id: &str) -> ApiRep {
+    let problem = "this daemon does not remember the request";
+    let remedy = "ask the daemon that answered it, soon after, with its x-pomelo-id";
+    edge::explain(shared, id)
+        .map_or_else(|| ApiRep::error(404, "no-such-request", problem, remedy), ApiRep::ok)
+}
+
 async fn ask(req: Request<Incoming>, calls: mpsc::Sender<ApiCall>) -> ApiRep {
     let (parts, body) = req.into_parts();
     let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
--- a/bins/pomelod/src/control.rs
+++ b/bins/pomelod/src/control.rs
@@ -85,7 +85,7 @@
     let store = HttpStore::new(settings.store, &sockets.peer.to_string(), STORE_TIMEOUT);
     let incarnation = control.kernel.board().me.incarnation;
     let peers = Peers::start(settings.secret.clone(), sockets.udp, sockets.tcp, incarnation, inputs.clone());
-    tokio::spawn(api::listen(sockets.api, calls, control.registry));
+    tokio::spawn(api::listen(sockets.api, calls, control.registry, Arc::clone(&control.shared)));
     let mut driver = Driver {
         kernel: control.kernel,
         shared: control.shared,
@@ -155,7 +155,7 @@
                     let _ = reply.send(rep);
                 }
             }
-            Output::Publish(view) => self.shared.view.store(view),
+            Output::Publish(view) => self.shared.publish(&view),
         }
     }
 }
--- a/bins/pomelod/src/start.rs
+++ b/bins/pomelod/src/start.rs
@@ -2,18 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
-use arc_swap::ArcSwap;
 use base::{Place, event};
 use edge::Shared;
 use kernel::{Kernel, Me, Setup, View};
 use prometheus::Registry;
+use store::HttpStore;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use crate::control::{self, Control, Sockets};
 use crate::fatal::Fatal;
@@ -24,6 +23,9 @@
 /// Attempts to find a port that is free for both UDP and TCP.
 const PORT_TRIES: usize = 16;
 
+/// Longest time for one operation of traffic on the store.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Runs the daemon until it is told to stop.
 ///
 /// # Errors
@@ -84,15 +86,16 @@
     reports: mpsc::Sender<kernel::Report>,
     place: Place,
 ) -> Arc<Shared> {
-    Arc::new(Shared {
-        view: ArcSwap::from_pointee(View::empty(place)),
-        pools: Arc::clone(kernel.pools()),
+    let caller = kernel.board().me.id.to_string();
+    let table = HttpStore::new(settings.store, &caller, STORE_TIMEOUT);
+    Arc::new(Shared::new(
+        View::empty(place),
+        Arc::clone(kernel.pools()),
         reports,
-        hasher: settings.hasher.clone(),
-        metrics: edge::Metrics::new(registry),
-        connections: edge::upstream::Connections::default(),
-        tracker: TaskTracker::new(),
-    })
+        settings.hasher.clone(),
+        edge::Metrics::new(registry),
+        Arc::new(table),
+    ))
 }
 
 async fn serve_callers(
--- /dev/null
+++ b/crates/edge/src/framing.rs
@@ -0,0 +1,179 @@
+//! Looks at the heads of HTTP/1.1 requests for two lengths, which hyper resolves without a word.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Longest head that is looked at; hyper refuses longer ones.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// End of a head.
+const BLANK_LINE: &[u8] = b"\r\n\r\n";
+
+/// Where the inspection is in a connection's bytes.
+#[derive(Debug)]
+enum State {
+    /// In a head, of which these bytes came so far.
+    Head(Vec<u8>),
+    /// In a body of known length.
+    Body(u64),
+    /// Nothing more is looked at.
+    Done,
+}
+
+/// Follows the framing of requests.
+#[derive(Debug)]
+pub struct Framing {
+    state: State,
+}
+
+/// What a head says about its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Length {
+    Known(u64),
+    Chunked,
+    Ambiguous,
+}
+
+impl Default for Framing {
+    fn default() -> Self {
+        Self { state: State::Head(Vec::new()) }
+    }
+}
+
+impl Framing {
+    /// Takes the next bytes; true: a head can be read in two ways.
+    pub fn feed(&mut self, mut bytes: &[u8]) -> bool {
+        while !bytes.is_empty() {
+            match &mut self.state {
+                State::Done => return false,
+                State::Body(left) => {
+                    let part = (*left).min(bytes.len() as u64);
+                    *left -= part;
+                    bytes = &bytes[part as usize..];
+                    if *left == 0 {
+                        self.state = State::Head(Vec::new());
+                    }
+                }
+                State::Head(head) => {
+                    let before = head.len();
+                    head.extend_from_slice(bytes);
+                    let from = before.saturating_sub(BLANK_LINE.len() - 1);
+                    let end = head[from..].windows(BLANK_LINE.len()).position(|w| w == BLANK_LINE);
+                    let end = end.map(|at| from + at + BLANK_LINE.len());
+                    if has_bare_line_feed(&head[..end.unwrap_or(head.len())]) {
+                        return true;
+                    }
+                    let Some(end) = end else {
+                        if head.len() > MAX_HEAD_BYTES {
+                            self.state = State::Done;
+                        }
+                        return false;
+                    };
+                    bytes = &bytes[end - before..];
+                    self.state = match length(&head[..end]) {
+                        Length::Ambiguous => return true,
+                        Length::Known(0) => State::Head(Vec::new()),
+                        Length::Known(n) => State::Body(n),
+                        Length::Chunked => State::Done,
+                    };
+                }
+            }
+        }
+        false
+    }
+}
+
+/// Readers differ on lines that end without a carriage return.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    head.first() == Some(&b'\n') || head.windows(2).any(|w| w[1] == b'\n' && w[0] != b'\r')
+}
+
+fn length(head: &[u8]) -> Length {
+    if head.starts_with(b"PRI * HTTP/2.0") {
+        return Length::Chunked;
+    }
+    let mut known = None;
+    let mut chunked = false;
+    for line in head.split(|b| *b == b'\n').skip(1) {
+        let mut parts = line.splitn(2, |b| *b == b':');
+        let name = parts.next().unwrap_or_default().trim_ascii();
+        let value = parts.next().unwrap_or_default().trim_ascii();
+        if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            chunked = true;
+        }
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let number = std::str::from_utf8(value).ok().and_then(|v| v.parse().ok());
+            match (known, number) {
+                (None, Some(n)) => known = Some(n),
+                _ => return Length::Ambiguous,
+            }
+        }
+    }
+    match (known, chunked) {
+        (Some(_), true) => Length::Ambiguous,
+        (None, true) => Length::Chunked,
+        (known, false) => Length::Known(known.unwrap_or(0)),
+    }
+}
+
+/// A caller's stream whose framing is followed.
+#[derive(Debug)]
+pub struct Inspected {
+    stream: TcpStream,
+    framing: Framing,
+    ambiguous: Arc<AtomicBool>,
+}
+
+impl Inspected {
+    /// Sets `ambiguous` before the bytes of an ambiguous head are passed on.
+    pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>) -> Self {
+        Self { stream, framing: Framing::default(), ambiguous }
+    }
+}
+
+impl AsyncRead for Inspected {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if polled.is_ready() && self.framing.feed(&buf.filled()[before..]) {
+            self.ambiguous.store(true, Relaxed);
+            self.framing.state = State::Done;
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Inspected {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,9 @@
 //! HTTP between callers and backend servers: one request's way through a daemon.
 //!
-//! [`admit`] finds the route and judges the key, [`proxy`] chooses servers and retries, [`upstream`] holds
-//! connections to servers, [`refuse`] answers what is not passed on, [`listen`] serves callers.
+//! [`listen`] serves callers, [`framing`] and [`hygiene`] refuse ambiguous requests, [`admit`] finds the route
+//! and judges the key, [`dedupe`] claims Idempotency-Keys, [`gate`] queues fairly, [`proxy`] chooses servers and
+//! retries within [`budgets`], [`attempt`] is one try, [`upstream`] holds connections to servers, [`body`] and
+//! [`stream`] hold or relay bodies, [`refuse`] answers what is not passed on, [`explain`] remembers.
 //!
 //! ```
 //! use base::Refusal;
@@ -10,12 +12,23 @@
 //! ```
 
 pub mod admit;
+mod attempt;
+mod body;
+mod budgets;
+mod dedupe;
+mod explain;
+mod framing;
+mod gate;
+mod hygiene;
+mod job;
 pub mod listen;
 pub mod metrics;
-pub mod proxy;
+mod proxy;
 pub mod refuse;
 pub mod shared;
+mod stream;
 pub mod upstream;
 
+pub use explain::explain;
 pub use metrics::Metrics;
 pub use shared::Shared;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters of traffic.
 
 use base::{Refusal, RetryReason};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::core::Collector;
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
 /// Counters of traffic, registered once for each daemon.
 #[derive(Clone, Debug)]
@@ -12,10 +15,28 @@
     pub refusals: IntCounterVec,
     /// Retries by reason.
     pub retries: IntCounterVec,
+    /// Retries that the budget did not cover, by reason.
+    pub retries_denied: IntCounterVec,
     /// Reports that control could not take in time.
     pub reports_dropped: IntCounter,
     /// Seconds from the caller's request to the head of the answer.
     pub seconds: Histogram,
+    /// Requests that wait, by service.
+    pub queued: IntGaugeVec,
+    /// Connections of callers.
+    pub callers: IntGauge,
+    /// Idle connections to servers.
+    pub idle_connections: IntGauge,
+    /// Connections to servers that went silent.
+    pub silent_connections: IntCounter,
+    /// Requests whose callers went away before the end.
+    pub cancelled: IntCounter,
+    /// Answers that ended short after their beginning was passed on.
+    pub broken_streams: IntCounter,
+    /// Bytes of bodies exchanged with servers of other regions, by service and customer.
+    pub cross_region_bytes: IntCounterVec,
+    /// Claims of Idempotency-Keys by result.
+    pub claims: IntCounterVec,
 }
 
 impl Metrics {
@@ -24,39 +45,59 @@
     /// # Panics
     /// Panics when the registry already has them.
     pub fn new(registry: &Registry) -> Self {
+        let seconds = HistogramOpts::new("pomelo_request_seconds", "Time to the answer's head");
+        let queued = Opts::new("pomelo_queued_requests", "Requests that wait, by service");
         let metrics = Self {
-            requests: IntCounter::new("pomelo_requests_total", "Requests taken from callers")
-                .expect("valid name"),
-            refusals: counters("pomelo_refusals_total", "Requests refused, by reason"),
-            retries: counters("pomelo_retries_total", "Tries at a second server, by reason"),
-            reports_dropped: IntCounter::new(
-                "pomelo_reports_dropped_total",
-                "Reports that control could not take",
-            )
-            .expect("valid name"),
-            seconds: Histogram::with_opts(HistogramOpts::new(
-                "pomelo_request_seconds",
-                "Time to the answer's head",
-            ))
-            .expect("valid name"),
+            requests: counter("pomelo_requests_total", "Requests taken from callers"),
+            refusals: counters("pomelo_refusals_total", "Requests refused, by reason", &["reason"]),
+            retries: counters("pomelo_retries_total", "Tries at a second server, by reason", &["reason"]),
+            retries_denied: counters(
+                "pomelo_retries_denied_total",
+                "Retries beyond the budget, by reason",
+                &["reason"],
+            ),
+            reports_dropped: counter("pomelo_reports_dropped_total", "Reports that control could not take"),
+            seconds: Histogram::with_opts(seconds).expect("valid name"),
+            queued: IntGaugeVec::new(queued, &["service"]).expect("valid name"),
+            callers: gauge("pomelo_caller_connections", "Connections of callers"),
+            idle_connections: gauge("pomelo_idle_server_connections", "Idle connections to servers"),
+            silent_connections: counter("pomelo_silent_connections_total", "Server connections gone silent"),
+            cancelled: counter("pomelo_cancelled_total", "Requests whose callers went away"),
+            broken_streams: counter("pomelo_broken_streams_total", "Streamed answers that ended short"),
+            cross_region_bytes: counters(
+                "pomelo_cross_region_bytes_total",
+                "Bytes exchanged with servers of other regions",
+                &["service", "customer"],
+            ),
+            claims: counters("pomelo_claims_total", "Claims of Idempotency-Keys, by result", &["result"]),
         };
         for refusal in Refusal::ALL {
             metrics.refusals.with_label_values(&[refusal.code()]);
         }
         for reason in RetryReason::ALL {
             metrics.retries.with_label_values(&[reason.code()]);
+            metrics.retries_denied.with_label_values(&[reason.code()]);
         }
         metrics.register(registry);
         metrics
     }
 
     fn register(&self, registry: &Registry) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+        let collectors: [Box<dyn Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.refusals.clone()),
             Box::new(self.retries.clone()),
+            Box::new(self.retries_denied.clone()),
             Box::new(self.reports_dropped.clone()),
             Box::new(self.seconds.clone()),
+            Box::new(self.queued.clone()),
+            Box::new(self.callers.clone()),
+            Box::new(self.idle_connections.clone()),
+            Box::new(self.silent_connections.clone()),
+            Box::new(self.cancelled.clone()),
+            Box::new(self.broken_streams.clone()),
+            Box::new(self.cross_region_bytes.clone()),
+            Box::new(self.claims.clone()),
         ];
         for collector in collectors {
             registry.register(collector).expect("registered once");
@@ -64,6 +105,14 @@
     }
 }
 
-fn counters(name: &str, help: &str) -> IntCounterVec {
-    IntCounterVec::new(Opts::new(name, help), &["reason"]).expect("valid name")
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("valid name")
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("valid name")
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("valid name")
 }
--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -1,32 +1,40 @@
-//! One request's way: admit, take tokens, choose a server, send, retry, answer.
+//! One request's way: admit, take tokens, hold the body, queue, choose servers, retry, answer.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 
-use base::{Refusal, RetryReason, ServerId};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use base::{Refusal, RetryReason, Run, ServerId, event};
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use kernel::{Outcome, OutcomeKind, Report, ServerView, Take, View};
+use kernel::{Pool, Report, ServerView, ServiceView, Take, View};
 use rand::SeedableRng;
 use smallvec::SmallVec;
 
-use crate::admit::{Admitted, admit, strip_key};
-use crate::refuse::{AnswerBody, REASON_HEADER, RUN_HEADER, response};
+use crate::admit::{Admitted, admit};
+use crate::attempt::{Ended, attempt};
+use crate::body::hold_request;
+use crate::dedupe;
+use crate::explain::Trace;
+use crate::gate::{Claim, Gate, Permit};
+use crate::hygiene;
+use crate::job::{DEADLINE_HEADER, Job, REQUEST_ID_HEADER};
+use crate::listen::Caller;
+use crate::refuse::{AnswerBody, ID_HEADER, response};
 use crate::shared::Shared;
-use crate::upstream::SendError;
 
-/// Header with the request's id; a server echoes it.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-/// Header with the milliseconds left for the request.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// Tries for a request that may run more than once.
+/// Tries that may reach servers, for one request.
 const MAX_TRIES: usize = 3;
+/// Tries for one request, those included that reached no server.
+const MAX_SERVERS: usize = 6;
 /// Longest wait for tokens.
 const TOKEN_WAIT: Duration = Duration::from_millis(500);
+/// Longest pause before busy servers are looked at again.
+const BUSY_WAIT: Duration = Duration::from_millis(20);
+/// Weight of all callers of open routes together, in the unit of customers' rates.
+const OPEN_WEIGHT: f64 = 100.0;
 
 /// Why a request is refused, with the time after which it may succeed.
 #[derive(Clone, Copy, Debug)]
@@ -42,48 +50,128 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn serve(shared: Arc<Shared>, caller: Arc<Caller>, req: Request<Incoming>) -> Response<AnswerBody> {
     shared.metrics.requests.inc();
     let timer = shared.metrics.seconds.start_timer();
-    let rep = match try_serve(&shared, req).await {
-        Ok(rep) => rep,
-        Err(refused) => {
-            shared.metrics.refusals.with_label_values(&[refused.refusal.code()]).inc();
-            let wait = refused.retry_at.map(|at| at.saturating_duration_since(Instant::now()));
-            response(refused.refusal, wait)
+    let caller_id = req.headers().get(REQUEST_ID_HEADER).and_then(|v| v.to_str().ok()).map(Box::from);
+    let trace = Arc::new(Trace::new(shared.ids.next(), caller_id));
+    shared.ring.push(Arc::clone(&trace));
+    let mut gone = CallerGone { shared: &shared, trace: &trace, is_answered: false };
+    let is_http1 = req.version() < hyper::Version::HTTP_2;
+    // The framing of a connection is not followed beyond a chunked body.
+    let is_last = req.headers().contains_key(TRANSFER_ENCODING) || caller.is_ambiguous();
+    let mut rep = match try_serve(&shared, &caller, &trace, req).await {
+        Ok(rep) => {
+            trace.end("answered");
+            rep
         }
+        Err(refused) => refuse(&shared, &trace, refused),
     };
+    gone.is_answered = true;
+    stamp(rep.headers_mut(), &trace);
     timer.observe_duration();
+    if is_http1 && (is_last || shared.draining.load(Relaxed)) {
+        rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     rep
 }
 
-async fn try_serve(shared: &Shared, req: Request<Incoming>) -> Result<Response<AnswerBody>, Refused> {
-    let view = shared.view.load_full();
-    if view.stopping {
-        return Err(Refusal::Stopping.into());
+fn refuse(shared: &Shared, trace: &Trace, refused: Refused) -> Response<AnswerBody> {
+    let refusal = trace.honest(refused.refusal);
+    shared.metrics.refusals.with_label_values(&[refusal.code()]).inc();
+    event!(Debug, RequestRefused, "id={} reason={}", trace.id, refusal.code());
+    trace.end(refusal.code());
+    let wait = refused.retry_at.map(|at| at.saturating_duration_since(Instant::now()));
+    response(refusal, wait)
+}
+
+/// Gives the caller its own id back, and the id under which the request is explained.
+fn stamp(headers: &mut HeaderMap, trace: &Trace) {
+    let own = HeaderValue::from_str(&trace.id).ok();
+    let caller = trace.caller_id.as_ref().and_then(|id| HeaderValue::from_str(id).ok());
+    if let Some(id) = caller.or_else(|| own.clone()) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    if let Some(id) = own {
+        headers.insert(ID_HEADER, id);
+    }
+}
+
+/// Notes when the caller goes away before its answer.
+struct CallerGone<'a> {
+    shared: &'a Shared,
+    trace: &'a Trace,
+    is_answered: bool,
+}
+
+impl Drop for CallerGone<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.trace.end("caller-gone");
+            self.shared.metrics.cancelled.inc();
+            event!(Debug, CallerGone, "id={}", self.trace.id);
+        }
+    }
+}
+
+async fn try_serve(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    trace: &Arc<Trace>,
+    req: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Refused> {
+    let now = Instant::now();
+    if caller.is_ambiguous() {
+        return Err(Refusal::BadRequest.into());
     }
     let (parts, body) = req.into_parts();
-    let admitted = admit(&view, &shared.hasher, &parts, Instant::now())?;
-    take_tokens(shared, &admitted).await?;
-    let body = body.collect().await.map_err(|_gone| Refusal::BadRequest)?.to_bytes();
-    let deadline = Instant::now() + timeout(&parts, &admitted);
-    let work = run(shared, &view, &admitted, &parts, body);
-    tokio::time::timeout_at(deadline.into(), work).await.unwrap_or(Err(Refusal::TimedOut.into()))
+    hygiene::check(&parts)?;
+    let admitted = admit(&shared.view.load(), &shared.hasher, &parts, now)?;
+    trace.set_route(&admitted.route.name, admitted.customer.as_ref());
+    caller.set_key(admitted.key);
+    let deadline = now + time_allowed(&parts, &admitted)?;
+    dedupe::check(&admitted, &parts)?;
+    let work = async {
+        take_tokens(shared, &admitted).await?;
+        let body = hold_request(body).await.map_err(|_broken| Refusal::BadRequest)?;
+        let job = Job::new(Arc::clone(shared), Arc::clone(trace), admitted.clone(), parts, body, deadline)?;
+        let job = Arc::new(job);
+        if dedupe::is_strict(&job) { dedupe::run_once(job).await } else { run(&job).await }
+    };
+    within(deadline, trace, work).await
 }
 
-fn timeout(parts: &Parts, admitted: &Admitted) -> Duration {
-    let stated = parts.headers.get(DEADLINE_HEADER).and_then(|v| v.to_str().ok()?.parse().ok());
-    stated.map_or(admitted.route.timeout, |ms| Duration::from_millis(ms).min(admitted.route.timeout))
+/// Ends the work at the deadline with what is then known about its effect.
+pub(crate) async fn within<T>(
+    deadline: Instant,
+    trace: &Trace,
+    work: impl Future<Output = Result<T, Refused>>,
+) -> Result<T, Refused> {
+    match tokio::time::timeout_at(deadline.into(), work).await {
+        Ok(done) => done,
+        Err(_late) if trace.is_doubtful() => Err(Refusal::TimedOut.into()),
+        Err(_late) => Err(Refusal::DeadlineTooShort.into()),
+    }
+}
+
+fn time_allowed(parts: &Parts, admitted: &Admitted) -> Result<Duration, Refusal> {
+    let Some(stated) = parts.headers.get(DEADLINE_HEADER) else {
+        return Ok(admitted.route.timeout);
+    };
+    let ms = stated.to_str().ok().and_then(|v| v.parse().ok()).ok_or(Refusal::BadRequest)?;
+    Ok(Duration::from_millis(ms).min(admitted.route.timeout))
 }
 
 async fn take_tokens(shared: &Shared, admitted: &Admitted) -> Result<(), Refused> {
     let Some(customer) = &admitted.customer else {
         return Ok(());
     };
-    let pool = shared.pools.get(customer).ok_or(Refusal::TokensUnconfirmed)?;
+    let pool: Arc<Pool> = shared.pools.get(customer).ok_or(Refusal::TokensUnconfirmed)?;
     let until = Instant::now() + TOKEN_WAIT;
     loop {
-        let changed = pool.changed();
+        let mut changed = std::pin::pin!(pool.changed());
+        // The first poll registers the waiter, so that a refill between `take` and the wait is seen.
+        let _ = futures_util::poll!(changed.as_mut());
         match pool.take(admitted.route.cost, Instant::now()) {
             Take::Taken => return Ok(()),
             Take::OverRate(at) => {
@@ -99,136 +187,134 @@
     }
 }
 
-async fn run(
-    shared: &Shared,
-    view: &View,
-    admitted: &Admitted,
-    parts: &Parts,
-    body: Bytes,
+/// Queues the job and tries servers until one answers or nothing is left to try.
+pub(crate) async fn run(job: &Arc<Job>) -> Result<Response<AnswerBody>, Refused> {
+    let shared = &job.shared;
+    let view = shared.view.load_full();
+    let service = view.services.get(job.service()).ok_or(Refusal::NoServer)?;
+    let gate = shared.gates.get(&service.service, &shared.metrics);
+    gate.set_bounds(service, &view.place, view.region_daemons);
+    let mut permit = Some(queue(job, &view, &gate).await?);
+    shared.budgets.earn(job.admitted.customer_name(), job.service());
+    tries(job, &gate, &mut permit).await
+}
+
+/// Waits in the fair queue; a key that is withdrawn meanwhile ends the wait.
+async fn queue(job: &Job, view: &View, gate: &Arc<Gate>) -> Result<Permit, Refusal> {
+    let customer = job.admitted.customer_name();
+    let known = view.conf.as_ref().and_then(|c| c.customers.get(customer));
+    let claim = Claim {
+        customer,
+        weight: known.map_or(OPEN_WEIGHT, |c| c.rate),
+        cost: job.admitted.route.cost,
+        deadline: job.deadline,
+    };
+    let mut keys = job.shared.keys.subscribe();
+    let mut entered = std::pin::pin!(gate.enter(claim));
+    loop {
+        tokio::select! {
+            biased;
+            permit = &mut entered => return permit,
+            _ = keys.changed() => job.recheck()?,
+        }
+    }
+}
+
+async fn tries(
+    job: &Arc<Job>,
+    gate: &Arc<Gate>,
+    permit: &mut Option<Permit>,
 ) -> Result<Response<AnswerBody>, Refused> {
-    let service = view.services.get(&admitted.route.service).ok_or(Refusal::NoServer)?;
-    let repeatable = admitted.route.is_repeatable(parts.method.as_str());
-    let mut rng = rand::rngs::SmallRng::from_rng(&mut rand::rng());
-    let mut tried: SmallVec<[ServerId; MAX_TRIES]> = SmallVec::new();
+    let mut tried: SmallVec<[ServerId; MAX_SERVERS]> = SmallVec::new();
+    let mut reached = 0;
     let mut last = Refusal::NoServer;
-    while tried.len() < MAX_TRIES {
-        let want = route::Want {
-            place: &view.place,
-            tried: &tried,
-            repeatable,
-            cross_region: service.service.cross_region,
-            now: Instant::now(),
-        };
-        let Some(server) = route::choose(&service.servers, &want, &mut rng) else {
+    let mut fallback = None;
+    while reached < MAX_TRIES && tried.len() < MAX_SERVERS && job.body.is_left() {
+        let Some(server) = choose(job, gate, &tried).await else {
             break;
         };
         tried.push(server.info.id.clone());
-        let (refusal, reason) = match send(shared, admitted, server, parts, body.clone(), !repeatable).await {
-            Ok(rep) => return Ok(rep),
-            Err(failed) => failed,
+        let reason = match attempt(job, &server, gate, permit, tried.len()).await {
+            Ended::Answer(rep) => return Ok(rep),
+            Ended::Refused(refusal) => return Err(refusal.into()),
+            Ended::ServerError(rep) => {
+                fallback = Some(rep);
+                Some(RetryReason::ServerError)
+            }
+            Ended::Doubtful(refusal, _) if !job.repeatable => return Err(refusal.into()),
+            Ended::NotRun(refusal, reason) | Ended::Doubtful(refusal, reason) => {
+                last = refusal;
+                Some(reason)
+            }
+            Ended::Silent => {
+                last = Refusal::Broken;
+                None
+            }
         };
-        last = refusal;
-        if !repeatable && refusal.run() == base::Run::Unknown {
+        if reason != Some(RetryReason::Connect) {
+            reached += 1;
+        }
+        if reached == MAX_TRIES || !has_more(job, &tried) {
+            break;
+        }
+        if let Some(reason) = reason
+            && !job.spend_retry(reason)
+        {
+            if last.run() == Run::No && fallback.is_none() {
+                last = Refusal::RetryBudget;
+            }
             break;
         }
-        shared.metrics.retries.with_label_values(&[reason.code()]).inc();
+        count_retry(job, reason.unwrap_or(RetryReason::Silent));
     }
-    Err(last.into())
-}
-
-async fn send(
-    shared: &Shared,
-    admitted: &Admitted,
-    server: &Arc<ServerView>,
-    parts: &Parts,
-    body: Bytes,
-    fresh: bool,
-) -> Result<Response<AnswerBody>, (Refusal, RetryReason)> {
-    let started = Instant::now();
-    let _in_flight = InFlight::enter(server);
-    let req = outgoing(parts, body);
-    let sent = shared.connections.send(server.info.addr, req, fresh).await;
-    let finish = |kind, bytes| report(shared, admitted, server, kind, started, bytes);
-    let (rep, sender) = match sent {
-        Ok(ok) => ok,
-        Err(SendError::Connect) => {
-            finish(OutcomeKind::ConnectFailed, 0);
-            return Err((Refusal::ConnectFailed, RetryReason::Connect));
+    fallback.ok_or(last.into())
+}
+
+fn count_retry(job: &Job, reason: RetryReason) {
+    job.shared.metrics.retries.with_label_values(&[reason.code()]).inc();
+    job.trace.step("retry", None);
+    event!(Debug, RequestRetried, "id={} reason={}", job.trace.id, reason.code());
+}
+
+/// Chooses a server; waits while those that are left are busy.
+async fn choose(job: &Job, gate: &Gate, tried: &[ServerId]) -> Option<Arc<ServerView>> {
+    let mut rng = rand::rngs::SmallRng::from_rng(&mut rand::rng());
+    loop {
+        let view = job.shared.view.load_full();
+        let service = view.services.get(job.service())?;
+        let want = route::Want {
+            place: &view.place,
+            tried,
+            repeatable: job.repeatable,
+            cross_region: service.service.cross_region,
+            now: Instant::now(),
+        };
+        if let Some(server) = route::choose(&service.servers, &want, &mut rng) {
+            return Some(Arc::clone(server));
         }
-        Err(SendError::Broken) => {
-            finish(OutcomeKind::Reset, 0);
-            return Err((Refusal::Broken, RetryReason::Broken));
+        if !is_busy(service, &view, tried) {
+            return None;
         }
-    };
-    let (head, incoming) = rep.into_parts();
-    let Ok(collected) = incoming.collect().await else {
-        finish(OutcomeKind::Truncated, 0);
-        return Err((Refusal::BadAnswer, RetryReason::BadAnswer));
-    };
-    let bytes = collected.to_bytes();
-    shared.connections.give_back(server.info.addr, sender);
-    if head.status.as_u16() == 503 && head.headers.get(RUN_HEADER).is_some_and(|v| v == "no") {
-        finish(OutcomeKind::Shed, 0);
-        return Err((Refusal::Shed, RetryReason::Shed));
-    }
-    let kind = match head.status.as_u16() {
-        500.. => OutcomeKind::ServerError,
-        400..=499 => OutcomeKind::ClientError,
-        _ => OutcomeKind::Ok,
-    };
-    finish(kind, bytes.len() as u64);
-    let mut head = head;
-    head.headers.remove(REASON_HEADER);
-    head.headers.remove(RUN_HEADER);
-    Ok(Response::from_parts(head, Full::new(bytes).map_err(|never| match never {}).boxed()))
-}
-
-fn outgoing(parts: &Parts, body: Bytes) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(body));
-    *req.method_mut() = parts.method.clone();
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    *req.uri_mut() = path.parse().unwrap_or_default();
-    *req.headers_mut() = parts.headers.clone();
-    strip_key(req.headers_mut());
-    req
-}
-
-fn report(
-    shared: &Shared,
-    admitted: &Admitted,
-    server: &Arc<ServerView>,
-    kind: OutcomeKind,
-    started: Instant,
-    bytes: u64,
-) {
-    let at = Instant::now();
-    let total = at - started;
-    if kind == OutcomeKind::Ok {
-        server.cell.observe_latency(total.as_micros() as u32);
-    }
-    shared.report(Report::Outcome(Outcome {
-        server: Arc::clone(server),
-        customer: admitted.customer.clone(),
-        kind,
-        first_byte: total,
-        total,
-        bytes,
-        at,
-    }));
-}
-
-/// Counts a request in flight for as long as it lives.
-struct InFlight<'a>(&'a ServerView);
-
-impl<'a> InFlight<'a> {
-    fn enter(server: &'a ServerView) -> Self {
-        server.cell.in_flight.fetch_add(1, Relaxed);
-        Self(server)
+        gate.freed(BUSY_WAIT).await;
     }
 }
 
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.cell.in_flight.fetch_sub(1, Relaxed);
-    }
+fn is_busy(service: &ServiceView, view: &View, tried: &[ServerId]) -> bool {
+    untried(service, view, tried).any(|s| s.cell.in_flight.load(Relaxed) >= s.info.slots)
+}
+
+fn has_more(job: &Job, tried: &[ServerId]) -> bool {
+    let view = job.shared.view.load();
+    let service = view.services.get(job.service());
+    service.is_some_and(|s| untried(s, &view, tried).next().is_some())
+}
+
+fn untried<'a>(
+    service: &'a ServiceView,
+    view: &'a View,
+    tried: &'a [ServerId],
+) -> impl Iterator<Item = &'a Arc<ServerView>> {
+    let in_reach =
+        |s: &&Arc<ServerView>| service.service.cross_region || s.info.place.region == view.place.region;
+    service.servers.iter().filter(in_reach).filter(|s| s.weight > 0.0 && !tried.contains(&s.info.id))
 }
--- a/crates/edge/src/refuse.rs
+++ b/crates/edge/src/refuse.rs
@@ -20,6 +20,12 @@
 /// Header that names the reason of a refusal.
 pub const REASON_HEADER: &str = "x-pomelo-reason";
 
+/// Header with the id under which `GET /v1/explain/request/ID` knows the request.
+pub const ID_HEADER: &str = "x-pomelo-id";
+
+/// Header of an answer that an earlier request with the same Idempotency-Key got.
+pub const REPLAYED_HEADER: &str = "x-pomelo-replayed";
+
 /// Makes the answer for a refusal.
 pub fn response(refusal: Refusal, retry_after: Option<Duration>) -> Response<AnswerBody> {
     let body = json!({
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -1,20 +1,27 @@
 //! What all traffic threads share.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use conf::KeyHasher;
+use derive_more::Debug;
 use kernel::{Pools, Report, View};
-use tokio::sync::mpsc;
+use store::Table;
+use tokio::sync::{mpsc, watch};
 use tokio_util::task::TaskTracker;
 
+use crate::budgets::Budgets;
+use crate::explain::{Ids, Ring};
+use crate::gate::Gates;
 use crate::metrics::Metrics;
 use crate::upstream::Connections;
 
 /// State shared by all requests of this daemon.
 #[derive(Debug)]
 pub struct Shared {
-    /// Latest view of control.
+    /// Latest view of control; replaced with [`Shared::publish`].
     pub view: ArcSwap<View>,
     /// Tokens granted to this daemon.
     pub pools: Arc<Pools>,
@@ -28,9 +35,61 @@
     pub connections: Connections,
     /// Requests and connections still served.
     pub tracker: TaskTracker,
+    /// The platform's table, for claims of Idempotency-Keys.
+    #[debug(skip)]
+    pub(crate) table: Arc<dyn Table>,
+    pub(crate) gates: Gates,
+    pub(crate) budgets: Budgets,
+    pub(crate) ids: Ids,
+    pub(crate) ring: Ring,
+    /// Grows whenever keys may have become invalid.
+    pub(crate) keys: watch::Sender<u64>,
+    /// Set once callers shall look for another daemon.
+    pub(crate) draining: AtomicBool,
 }
 
 impl Shared {
+    /// Makes the state with a view that is replaced later.
+    pub fn new(
+        view: View,
+        pools: Arc<Pools>,
+        reports: mpsc::Sender<Report>,
+        hasher: KeyHasher,
+        metrics: Metrics,
+        table: Arc<dyn Table>,
+    ) -> Self {
+        Self {
+            view: ArcSwap::from_pointee(view),
+            pools,
+            reports,
+            hasher,
+            metrics,
+            connections: Connections::default(),
+            tracker: TaskTracker::new(),
+            table,
+            gates: Gates::default(),
+            budgets: Budgets::default(),
+            ids: Ids::default(),
+            ring: Ring::default(),
+            keys: watch::Sender::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Replaces the view. If keys changed, queued requests and callers' connections are judged again.
+    pub fn publish(&self, view: &Arc<View>) {
+        let old = self.view.swap(Arc::clone(view));
+        let same_conf = match (&old.conf, &view.conf) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (a, b) => a.is_none() && b.is_none(),
+        };
+        if !same_conf || !Arc::ptr_eq(&old.withdrawn, &view.withdrawn) {
+            self.keys.send_modify(|epoch| *epoch += 1);
+        }
+        self.connections.sweep(Instant::now());
+        self.metrics.idle_connections.set(self.connections.idle() as i64);
+    }
+
     /// Sends a report without waiting.
     pub fn report(&self, report: Report) {
         if self.reports.try_send(report).is_err() {
--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,59 @@
+//! Retry budget: first tries earn credit, retries spend it, so that retries stay a bounded share of traffic.
+
+use base::RetryReason;
+
+/// Credit that each first try earns, in hundredths of a retry.
+const EARNED: u32 = 10;
+/// Price of a retry after work at a server, in hundredths.
+const FULL_PRICE: u32 = 100;
+/// Price of a retry after a shed answer, which cost the server little, in hundredths.
+const SHED_PRICE: u32 = 50;
+
+/// Credit of one customer or service.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    /// In hundredths of a retry; never above `cap`.
+    credit: u32,
+    cap: u32,
+}
+
+impl Budget {
+    /// Makes a budget with credit for `reserve` retries that holds at most `cap` retries.
+    pub fn new(reserve: u32, cap: u32) -> Self {
+        let cap = cap.max(reserve) * FULL_PRICE;
+        Self { credit: reserve * FULL_PRICE, cap }
+    }
+
+    /// Counts a first try.
+    pub fn earn(&mut self) {
+        self.credit = (self.credit + EARNED).min(self.cap);
+    }
+
+    /// Whether a retry for `reason` is covered.
+    pub fn covers(&self, reason: RetryReason) -> bool {
+        self.credit >= price(reason)
+    }
+
+    /// Spends the price of a retry; false: nothing is spent.
+    pub fn spend(&mut self, reason: RetryReason) -> bool {
+        let covered = self.covers(reason);
+        if covered {
+            self.credit -= price(reason);
+        }
+        covered
+    }
+}
+
+/// Spends from both budgets or from none.
+pub fn spend_both(customer: &mut Budget, service: &mut Budget, reason: RetryReason) -> bool {
+    customer.covers(reason) && service.covers(reason) && customer.spend(reason) && service.spend(reason)
+}
+
+/// A try that reached no server cost the servers nothing.
+fn price(reason: RetryReason) -> u32 {
+    match reason {
+        RetryReason::Connect => 0,
+        RetryReason::Shed => SHED_PRICE,
+        _ => FULL_PRICE,
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,12 @@
 //! assert!(route::choose(&[], &want, &mut rng).is_none());
 //! ```
 
+pub mod budget;
+pub mod concurrency;
 pub mod pick;
+pub mod queue;
 
+pub use budget::Budget;
+pub use concurrency::Limit;
 pub use pick::{Want, choose};
+pub use queue::{FairQueue, Pushed};
