--- a/bins/pomelo-load/src/main.rs
+++ b/bins/pomelo-load/src/main.rs
@@ -1,22 +1,53 @@
-//! `pomelo-load`: open-loop load. Prints `key=value` lines.
+//! `pomelo-load`: open-loop load and the check of orders against the servers' ledgers.
 
+mod answer;
+mod caller;
+mod ledger;
 mod plan;
+mod report;
 mod run;
+mod schedule;
 
-fn main() -> std::process::ExitCode {
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use plan::Plan;
+
+fn main() -> ExitCode {
     env_logger::init();
     let plan = match plan::read() {
-        Ok(Some(plan)) => plan,
+        Ok(Some(plan)) => Arc::new(plan),
         Ok(None) => {
             println!("{}", plan::HELP);
-            return std::process::ExitCode::SUCCESS;
+            return ExitCode::SUCCESS;
         }
         Err(e) => {
             eprintln!("pomelo-load: {e}; see --help");
-            return std::process::ExitCode::from(2);
+            return ExitCode::from(2);
         }
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime starts").block_on(run::run(&plan));
-    std::process::ExitCode::SUCCESS
+    let finished = runtime.expect("a runtime starts").block_on(run::run(Arc::clone(&plan)));
+    match conclude(&plan, &finished) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pomelo-load: {e}; name files that can be read or written");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn conclude(plan: &Plan, finished: &[answer::Finished]) -> Result<(), Box<dyn std::error::Error>> {
+    report::print(plan, finished);
+    if plan.streams.iter().any(|s| s.orders) {
+        let runs = ledger::read(&plan.ledgers)?;
+        ledger::print(&ledger::compare(finished, &runs));
+    }
+    if let Some(path) = &plan.csv {
+        report::write_csv(path, plan, finished)?;
+    }
+    if let Some(path) = &plan.svg {
+        report::write_svg(path, plan, finished)?;
+    }
+    Ok(())
 }
--- a/bins/pomelo-load/src/run.rs
+++ b/bins/pomelo-load/src/run.rs
@@ -1,90 +1,80 @@
-//! Sends requests at their scheduled times, whatever the answers do.
+//! Sends requests at their scheduled times, whatever the answers do, so that no wait is left out.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use hdrhistogram::Histogram;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
-use hyper_util::rt::TokioExecutor;
-use tokio_util::task::TaskTracker;
+use tokio::sync::mpsc;
 
+use crate::answer::Finished;
+use crate::caller::{self, Http};
 use crate::plan::Plan;
 
-/// Largest recorded time in microseconds.
-const MAX_US: u64 = 60_000_000;
+/// Interval between progress lines.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Results of a run.
-#[derive(Debug)]
-struct Results {
-    /// Times from the scheduled start to the end of the answer, in microseconds.
-    times: Histogram<u64>,
-    /// Answers by status or refusal reason.
-    answers: BTreeMap<Box<str>, u64>,
+/// One request to come.
+#[derive(Clone, Copy, Debug)]
+struct Due {
+    at: Duration,
+    stream: usize,
+    /// Number within its stream.
+    n: usize,
 }
 
-type Http = Client<HttpConnector, Full<Bytes>>;
-
-/// Performs the run and prints its results.
-pub async fn run(plan: &Plan) {
-    let times = Histogram::new_with_bounds(1, MAX_US, 3).expect("valid bounds");
-    let results = Arc::new(Mutex::new(Results { times, answers: BTreeMap::new() }));
-    let client: Http = Client::builder(TokioExecutor::new()).build_http();
-    let tracker = TaskTracker::new();
-    let started = Instant::now();
-    let total = (plan.rate * plan.seconds) as u64;
-    for n in 0..total {
-        let due = started + Duration::from_secs_f64(n as f64 / plan.rate);
-        tokio::time::sleep_until(due.into()).await;
-        let req = request(plan, n);
-        let client = client.clone();
-        let results = Arc::clone(&results);
-        tracker.spawn(async move {
-            let answer = send(&client, req).await;
-            let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
-            results.times.saturating_record(due.elapsed().as_micros() as u64);
-            *results.answers.entry(answer).or_default() += 1;
-        });
+/// Performs the run and returns every request's end.
+pub async fn run(plan: Arc<Plan>) -> Vec<Finished> {
+    let dues = all_due(&plan);
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let done = Arc::new(AtomicU64::new(0));
+    if plan.progress {
+        tokio::spawn(progress(dues.len(), Arc::clone(&done)));
+    }
+    let total = dues.len();
+    tokio::spawn(send_all(plan, dues, tx));
+    let mut finished = Vec::with_capacity(total);
+    while let Some(one) = rx.recv().await {
+        done.fetch_add(1, Relaxed);
+        finished.push(one);
     }
-    tracker.close();
-    tracker.wait().await;
-    print(&results.lock().unwrap_or_else(PoisonError::into_inner));
+    finished
 }
 
-fn request(plan: &Plan, n: u64) -> Request<Full<Bytes>> {
-    let target = plan.targets[n as usize % plan.targets.len()];
-    let mut builder = Request::builder().method(&*plan.method).uri(format!("http://{target}{}", plan.path));
-    if let Some(key) = &plan.key {
-        builder = builder.header("x-api-key", &**key);
+fn all_due(plan: &Plan) -> Vec<Due> {
+    let mut dues: Vec<Due> = Vec::new();
+    for (stream, s) in plan.streams.iter().enumerate() {
+        let times = s.rate.due_times(plan.length);
+        dues.extend(times.into_iter().enumerate().map(|(n, at)| Due { at, stream, n }));
     }
-    builder.body(Full::default()).expect("a valid request")
+    dues.sort_by_key(|d| d.at);
+    dues
 }
 
-async fn send(client: &Http, req: Request<Full<Bytes>>) -> Box<str> {
-    let Ok(rep) = client.request(req).await else {
-        return "no-answer".into();
-    };
-    let (head, body) = rep.into_parts();
-    if body.collect().await.is_err() {
-        return "cut".into();
-    }
-    match head.headers.get("x-pomelo-reason").and_then(|v| v.to_str().ok()) {
-        Some(reason) => reason.into(),
-        None => head.status.as_str().into(),
+async fn send_all(plan: Arc<Plan>, dues: Vec<Due>, tx: mpsc::UnboundedSender<Finished>) {
+    let http: Http = caller::client();
+    let run_id = std::process::id();
+    let started = Instant::now();
+    for due in dues {
+        let at = started + due.at;
+        tokio::time::sleep_until(at.into()).await;
+        let http = http.clone();
+        let plan = Arc::clone(&plan);
+        let tx = tx.clone();
+        tokio::spawn(async move {
+            let stream = &plan.streams[due.stream];
+            let order = stream.orders.then(|| Box::from(format!("{}-{run_id}-{}", stream.name, due.n)));
+            let answer = caller::send(&http, stream, due.n, order.as_deref()).await;
+            let took = at.elapsed();
+            let _ = tx.send(Finished { stream: due.stream, due: due.at, took, answer, order });
+        });
     }
 }
 
-fn print(results: &Results) {
-    let total: u64 = results.answers.values().sum();
-    println!("requests={total}");
-    for (answer, count) in &results.answers {
-        println!("answer.{answer}={count}");
-    }
-    for (name, q) in [("p50", 0.5), ("p99", 0.99), ("p999", 0.999)] {
-        println!("{name}_us={}", results.times.value_at_quantile(q));
+async fn progress(total: usize, done: Arc<AtomicU64>) {
+    let mut interval = tokio::time::interval(PROGRESS_INTERVAL);
+    interval.tick().await;
+    loop {
+        interval.tick().await;
+        eprintln!("progress {} of {total}", done.load(Relaxed));
     }
-    println!("max_us={}", results.times.max());
 }
--- a/bins/pomelo-server/src/announce.rs
+++ b/bins/pomelo-server/src/announce.rs
@@ -23,7 +23,7 @@
     let mut turn = 0;
     while !settings.daemons.is_empty() {
         let daemon = settings.daemons[turn % settings.daemons.len()];
-        let draining = state.mode().draining;
+        let draining = state.is_draining();
         let body = json!({
             "service": settings.service,
             "addr": addr,
@@ -31,7 +31,7 @@
             "slots": settings.slots,
             "connections": 400,
             "load": state.load(),
-            "state": if draining { "draining" } else { "ready" },
+            "state": if draining { "draining" } else if state.is_cold() { "starting" } else { "ready" },
         });
         let req = Request::builder()
             .method(Method::PUT)
--- a/bins/pomelo-server/src/main.rs
+++ b/bins/pomelo-server/src/main.rs
@@ -1,6 +1,7 @@
 //! `pomelo-server`: stand-in backend server with slots and gray modes that are switched at run time.
 
 mod announce;
+mod ledger;
 mod mode;
 mod serve;
 mod settings;
@@ -32,7 +33,13 @@
         };
         let addr = listener.local_addr().expect("a bound socket has an address");
         println!("ready listen={addr}");
-        let state = serve::State::new(&settings);
+        let state = match serve::State::new(&settings) {
+            Ok(state) => state,
+            Err(e) => {
+                eprintln!("pomelo-server: --ledger: {e}; name a file that can be appended to");
+                return std::process::ExitCode::FAILURE;
+            }
+        };
         tokio::spawn(announce::keep(settings.clone(), addr, std::sync::Arc::clone(&state)));
         serve::listen(listener, state).await;
         std::process::ExitCode::SUCCESS
--- a/bins/pomelo-server/src/settings.rs
+++ b/bins/pomelo-server/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings from flags.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use pico_args::{Arguments, Error};
 
@@ -14,8 +15,11 @@
   --daemon ADDR        operator API of a daemon to announce to; repeatable, the next is used when one fails
   --slots N            requests that run at the same time         [default: 6]
   --work-ms N          time that a request takes in a slot        [default: 5]
+  --cold-ms N          time after the start during which work takes five times as long  [default: 0]
+  --ledger FILE        file to which the id of each order that ran is appended
 
-PUT /_mode with a JSON object switches gray modes; GET /_ledger lists the orders that ran.";
+PUT /_mode with a JSON object switches gray modes, see the fields of Mode; GET /_seen tells counters.
+A request with ?bytes=N is answered with a body of N bytes.";
 
 /// Settings of the server.
 #[derive(Clone, Debug)]
@@ -36,6 +40,10 @@
     pub slots: u32,
     /// Milliseconds of work for a request.
     pub work_ms: u64,
+    /// Milliseconds after the start during which the server is cold.
+    pub cold_ms: u64,
+    /// File for the orders that ran.
+    pub ledger: Option<PathBuf>,
 }
 
 /// What the command line asks for.
@@ -66,5 +74,7 @@
         daemons: args.values_from_str("--daemon")?,
         slots: args.opt_value_from_str("--slots")?.unwrap_or(6),
         work_ms: args.opt_value_from_str("--work-ms")?.unwrap_or(5),
+        cold_ms: args.opt_value_from_str("--cold-ms")?.unwrap_or(0),
+        ledger: args.opt_value_from_str("--ledger")?,
     }))
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -18,12 +18,17 @@
     for d in 0 1 2 3; do
         flags+=(--daemon "$(addr "d$(((n - 1 + d) % 4 + 1))" api)")
     done
+    if [ -n "${LEDGERS:-}" ]; then
+        flags+=(--ledger "$RUN_DIR/$service-$n.ledger")
+    fi
     start "$service-$n" pomelo-server --id "$service-$n" --service "$service" --region "$region" \
         --data-centre "$dc" "${flags[@]}"
 }
 
-# Starts everything and applies the sample configuration.
+# start_fleet [--ledgers]: starts everything and applies the sample configuration. With --ledgers, servers
+# list the orders that ran in $RUN_DIR/SERVICE-NUMBER.ledger.
 start_fleet() {
+    [ "${1:-}" != --ledgers ] || LEDGERS=yes
     start store pomelo-store
     for n in 1 2 3 4; do
         start_daemon "$n"
