--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -45,3 +45,12 @@
 give_key() {
     "$BIN/pomeloctl" keys give "$1" "$2" | sed -n 's/.*"secret": "\([^"]*\)".*/\1/p'
 }
+
+# restart_daemon NUMBER SIGNAL: ends a daemon, waits for its exit and starts it on the same addresses.
+restart_daemon() {
+    local n=$1 listen api peer
+    listen=$(addr "d$n" listen) api=$(addr "d$n" api) peer=$(addr "d$n" peer)
+    kill "-$2" "$(pid "d$n")"
+    tail --pid="$(pid "d$n")" -f /dev/null
+    start_daemon "$n" --listen "$listen" --api "$api" --peer-listen "$peer"
+}
