Keep the configuration in a chunked hash tree and resolve lost answers

Cause: every change moved and compiled the whole configuration as one object, a lost answer was reported as a failure, and a withdrawal needed the store. Change: 1,024 shards under a two-level tree of content-addressed chunks; commits read the head, put chunks, compare-and-set head and history in one transaction and resolve lost answers by the change id; daemons push new heads to five random peers and fetch chunks from peers first; withdrawals are in force at once, spread without the store and are stored as tombstones.

--- a/crates/conf/src/compile.rs
+++ b/crates/conf/src/compile.rs
@@ -1,162 +1,174 @@
-//! Validates a whole source and compiles it into a snapshot.
+//! Validates a whole configuration and compiles it; unchanged shards are compiled once.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
 
 use base::Version;
 
 use crate::error::ConfError;
-use crate::key::KeyHash;
-use crate::render::render;
-use crate::snapshot::{Customer, Key, Route, Service, Snapshot, first_segment};
-use crate::source::{KeySource, RouteSource, Source};
-
-/// File name used in errors that concern the whole configuration.
-const WHOLE: &str = "configuration";
+use crate::part::Part;
+use crate::shard::{Config, Digest};
+use crate::snapshot::{Route, Snapshot, first_segment};
+use crate::source::Source;
+use crate::validate::{WHOLE, check_fleet, check_templates};
 
 /// Expands every template for every customer that uses it, validates the whole and compiles it.
 ///
 /// # Errors
 /// Fails on the first fault, with file, field and remedy.
 pub fn compile(source: &Source, version: Version) -> Result<Snapshot, ConfError> {
-    let mut snapshot = Snapshot { version, fleet: source.fleet.clone(), ..Snapshot::default() };
-    add_services(&mut snapshot, source)?;
-    add_customers(&mut snapshot, source)?;
-    let routes = expand_routes(source)?;
-    add_routes(&mut snapshot, &routes)?;
-    for key in &source.key {
-        let key = compile_key(&snapshot, key)?;
-        if snapshot.keys.insert(key.hash, Arc::new(key)).is_some() {
-            return Err(ConfError::new(
-                WHOLE,
-                "key.hash",
-                "two keys with the same hash",
-                "remove one of them",
-            ));
-        }
-    }
-    Ok(snapshot)
+    Compiler::default().compile(&Config::from_source(source), version)
+}
+
+/// Compiles successive configurations and keeps what each shard compiled to.
+#[derive(Debug, Default)]
+pub struct Compiler {
+    global: Digest,
+    parts: HashMap<Digest, Arc<Part>>,
 }
 
-fn add_services(snapshot: &mut Snapshot, source: &Source) -> Result<(), ConfError> {
-    for s in &source.service {
-        let field = format!("service[{}]", s.name);
-        if !(0.0..=1.0).contains(&s.floor) {
-            let field = format!("{field}.floor");
-            return Err(ConfError::new(WHOLE, field, "not between 0 and 1", "give a share such as 0.6"));
+impl Compiler {
+    /// Validates and compiles a configuration.
+    ///
+    /// # Errors
+    /// Fails on the first fault, with file, field and remedy.
+    pub fn compile(&mut self, config: &Config, version: Version) -> Result<Snapshot, ConfError> {
+        let global = &config.global.value;
+        if self.global != config.global.digest {
+            check_fleet(&global.fleet)?;
+            check_templates(&global.template)?;
+            self.parts.clear();
+            self.global = config.global.digest;
         }
-        let service =
-            Service { name: s.name.clone(), floor: s.floor, cross_region: s.cross_region, queue: s.queue };
-        if snapshot.services.insert(s.name.clone(), Arc::new(service)).is_some() {
-            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the services"));
+        let templates: BTreeMap<&str, _> = global.template.iter().map(|t| (&*t.name, t)).collect();
+        let mut parts = Vec::with_capacity(config.shards.len());
+        for leaf in &config.shards {
+            let part = match self.parts.get(&leaf.digest) {
+                Some(part) => Arc::clone(part),
+                None => Arc::new(Part::compile(&leaf.value, &templates)?),
+            };
+            self.parts.insert(leaf.digest, Arc::clone(&part));
+            parts.push(part);
         }
+        let used: HashSet<Digest> = config.shards.iter().map(|l| l.digest).collect();
+        self.parts.retain(|digest, _| used.contains(digest));
+        let mut snapshot = Snapshot { version, fleet: global.fleet.clone(), ..Snapshot::default() };
+        assemble(&mut snapshot, &parts)?;
+        Ok(snapshot)
     }
-    Ok(())
 }
 
-fn add_customers(snapshot: &mut Snapshot, source: &Source) -> Result<(), ConfError> {
-    for c in &source.customer {
-        let field = format!("customer[{}]", c.name);
-        let valid = |n: f64| n.is_finite() && n > 0.0;
-        if !valid(c.rate) || !valid(c.burst) {
-            return Err(ConfError::new(WHOLE, field, "rate or burst not above 0", "give positive numbers"));
-        }
-        let customer = Customer { name: c.name.clone(), rate: c.rate, burst: c.burst };
-        if snapshot.customers.insert(c.name.clone(), Arc::new(customer)).is_some() {
-            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the customers"));
+fn assemble(snapshot: &mut Snapshot, parts: &[Arc<Part>]) -> Result<(), ConfError> {
+    for part in parts {
+        for service in &part.services {
+            if snapshot.services.insert(service.name.clone(), Arc::clone(service)).is_some() {
+                return Err(twice("service", &service.name));
+            }
         }
+        snapshot.withdrawn.extend(&part.withdrawn);
     }
-    Ok(())
+    let customers: Vec<_> = parts.iter().flat_map(|p| &p.customers).collect();
+    snapshot.customers = customers.iter().map(|c| (c.name.clone(), Arc::clone(c))).collect();
+    if snapshot.customers.len() != customers.len() {
+        return Err(first_twice("customer", customers.iter().map(|c| &*c.name)));
+    }
+    add_keys(snapshot, parts)?;
+    add_routes(snapshot, parts)
 }
 
-fn expand_routes(source: &Source) -> Result<Vec<RouteSource>, ConfError> {
-    let templates: BTreeMap<&str, _> = source.template.iter().map(|t| (&*t.name, t)).collect();
-    let mut routes = source.route.clone();
-    for customer in &source.customer {
-        let Some(name) = customer.template.as_deref() else {
-            continue;
-        };
-        let template = templates.get(name).ok_or_else(|| {
-            let field = format!("customer[{}].template", customer.name);
-            ConfError::new(
-                WHOLE,
-                field,
-                format!("no template {name:?}"),
-                "add the template or correct its name",
-            )
-        })?;
-        routes.extend(render(template, customer)?);
+fn add_keys(snapshot: &mut Snapshot, parts: &[Arc<Part>]) -> Result<(), ConfError> {
+    let mut names = HashSet::new();
+    for key in parts.iter().flat_map(|p| &p.keys) {
+        let field = |name: &str| format!("key[{}].{name}", key.name);
+        if !names.insert(&*key.name) {
+            return Err(twice("key", &key.name));
+        }
+        if !snapshot.customers.contains_key(&key.customer) {
+            let remedy = "add the customer, or withdraw its keys before you remove it";
+            return Err(ConfError::new(WHOLE, field("customer"), "unknown customer", remedy));
+        }
+        if snapshot.withdrawn.contains(&key.hash) {
+            let remedy = "give a new key with `pomeloctl keys give`";
+            return Err(ConfError::new(WHOLE, field("hash"), "the key was withdrawn", remedy));
+        }
+        if snapshot.keys.insert(key.hash, Arc::clone(key)).is_some() {
+            return Err(ConfError::new(WHOLE, field("hash"), "two keys with the same hash", "remove one"));
+        }
     }
-    Ok(routes)
+    Ok(())
 }
 
-fn add_routes(snapshot: &mut Snapshot, sources: &[RouteSource]) -> Result<(), ConfError> {
+fn add_routes(snapshot: &mut Snapshot, parts: &[Arc<Part>]) -> Result<(), ConfError> {
     let mut names = HashSet::new();
     let mut groups: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
-    for r in sources {
-        let route = compile_route(snapshot, r)?;
-        if !names.insert(route.name.clone()) {
-            let field = format!("route[{}]", r.name);
-            return Err(ConfError::new(WHOLE, field, "name used twice", "rename one of the routes"));
+    for route in parts.iter().flat_map(|p| &p.routes) {
+        check_references(snapshot, route)?;
+        if !names.insert(&*route.name) {
+            return Err(twice("route", &route.name));
+        }
+        let segment = first_segment(&route.prefix);
+        match groups.get_mut(segment) {
+            Some(group) => group.push(Arc::clone(route)),
+            None => {
+                groups.insert(segment.into(), vec![Arc::clone(route)]);
+            }
         }
-        groups.entry(first_segment(&route.prefix).into()).or_default().push(Arc::new(route));
     }
     for group in groups.values_mut() {
-        group.sort_by_key(|r| (Reverse(r.prefix.len()), r.host.is_none(), r.name.clone()));
+        group.sort_by(|a, b| order(a).cmp(&order(b)));
+        check_conflicts(group)?;
     }
     snapshot.routes = groups;
     Ok(())
 }
 
-fn compile_route(snapshot: &Snapshot, r: &RouteSource) -> Result<Route, ConfError> {
+fn order(r: &Route) -> (Reverse<usize>, &str, bool, Option<&str>, &str) {
+    let prefix = r.prefix.trim_end_matches('/');
+    (Reverse(prefix.len()), prefix, r.host.is_none(), r.host.as_deref(), &r.name)
+}
+
+fn check_references(snapshot: &Snapshot, r: &Route) -> Result<(), ConfError> {
     let fail = |field: &str, problem: &str, remedy: &str| {
         Err(ConfError::new(WHOLE, format!("route[{}].{field}", r.name), problem, remedy))
     };
-    if !r.prefix.starts_with('/') {
-        return fail("prefix", "does not start with a slash", "write a path such as \"/orders\"");
-    }
     if !snapshot.services.contains_key(&r.service) {
         return fail("service", "unknown service", "add the service or correct its name");
     }
     if r.customer.as_ref().is_some_and(|c| !snapshot.customers.contains_key(c)) {
         return fail("customer", "unknown customer", "add the customer or correct its name");
     }
-    if r.open && r.customer.is_some() {
-        return fail("open", "an open route can't belong to a customer", "remove open or customer");
-    }
-    if r.timeout_ms == 0 {
-        return fail("timeout_ms", "is 0", "give a time in milliseconds");
-    }
-    Ok(Route {
-        name: r.name.clone(),
-        host: r.host.clone(),
-        prefix: r.prefix.clone(),
-        methods: r.methods.clone(),
-        service: r.service.clone(),
-        customer: r.customer.clone(),
-        open: r.open,
-        repeatable: r.repeatable,
-        timeout: Duration::from_millis(r.timeout_ms),
-        dedupe: r.dedupe,
-        cost: r.cost,
-    })
+    Ok(())
 }
 
-fn compile_key(snapshot: &Snapshot, k: &KeySource) -> Result<Key, ConfError> {
-    let field = |name: &str| format!("key[{}].{name}", k.name);
-    if !snapshot.customers.contains_key(&k.customer) {
-        return Err(ConfError::new(WHOLE, field("customer"), "unknown customer", "add the customer first"));
-    }
-    let Some(hash) = parse_hash(&k.hash) else {
-        let remedy = "create keys with `pomeloctl keys give`";
-        return Err(ConfError::new(WHOLE, field("hash"), "not 64 hexadecimal digits", remedy));
+/// Refuses two routes that match the same requests. Such routes stand next to each other.
+fn check_conflicts(group: &[Arc<Route>]) -> Result<(), ConfError> {
+    let same = |a: &Route, b: &Route| {
+        let place = |r: &Route| (r.prefix.trim_end_matches('/').len(), r.host.clone());
+        place(a) == place(b) && a.prefix.trim_end_matches('/') == b.prefix.trim_end_matches('/')
     };
-    let expires = k.expires.map(|s| SystemTime::UNIX_EPOCH + Duration::from_secs(s));
-    Ok(Key { name: k.name.clone(), hash, customer: k.customer.clone(), expires })
+    for run in group.chunk_by(|a, b| same(a, b)) {
+        for (n, a) in run.iter().enumerate() {
+            if let Some(b) = run[n + 1..].iter().find(|b| methods_overlap(a, b)) {
+                let problem = format!("matches the same requests as route[{}]", a.name);
+                let remedy = "change host, prefix or methods of one of them";
+                return Err(ConfError::new(WHOLE, format!("route[{}].prefix", b.name), problem, remedy));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn methods_overlap(a: &Route, b: &Route) -> bool {
+    a.methods.is_empty() || b.methods.is_empty() || a.methods.iter().any(|m| b.methods.contains(m))
+}
+
+fn twice(kind: &str, name: &str) -> ConfError {
+    ConfError::new(WHOLE, format!("{kind}[{name}].name"), "name used twice", "rename one of the two")
 }
 
-fn parse_hash(text: &str) -> Option<KeyHash> {
-    blake3::Hash::from_hex(text).ok().map(|h| *h.as_bytes())
+fn first_twice<'a>(kind: &str, names: impl Iterator<Item = &'a str>) -> ConfError {
+    let mut seen = HashSet::new();
+    let name = names.filter(|n| !seen.insert(*n)).last();
+    twice(kind, name.unwrap_or(""))
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -22,11 +22,16 @@
 pub mod compile;
 pub mod error;
 pub mod key;
+pub(crate) mod part;
 pub mod render;
+pub mod shard;
 pub mod snapshot;
 pub mod source;
+pub mod tree;
+pub(crate) mod validate;
 
-pub use compile::compile;
+pub use compile::{Compiler, compile};
 pub use error::ConfError;
 pub use key::{KeyHash, KeyHasher};
+pub use shard::{Config, Digest, Tombstone};
 pub use snapshot::{Customer, Dedupe, Fleet, Key, Repeat, Route, Service, Snapshot, StaleKeys};
--- /dev/null
+++ b/crates/conf/src/part.rs
@@ -0,0 +1,86 @@
+//! What one shard compiles to, independent of all others.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use crate::error::ConfError;
+use crate::key::KeyHash;
+use crate::render::render;
+use crate::shard::Shard;
+use crate::snapshot::{Customer, Key, Route, Service};
+use crate::source::{KeySource, RouteSource, Template};
+use crate::tree::from_name;
+use crate::validate::{WHOLE, check_customer, check_route, check_service};
+
+/// A compiled shard.
+#[derive(Debug, Default)]
+pub(crate) struct Part {
+    pub(crate) services: Vec<Arc<Service>>,
+    pub(crate) customers: Vec<Arc<Customer>>,
+    pub(crate) routes: Vec<Arc<Route>>,
+    pub(crate) keys: Vec<Arc<Key>>,
+    pub(crate) withdrawn: Vec<KeyHash>,
+}
+
+impl Part {
+    /// Validates and compiles a shard as far as that needs no other shard.
+    pub(crate) fn compile(shard: &Shard, templates: &BTreeMap<&str, &Template>) -> Result<Self, ConfError> {
+        let mut part = Part::default();
+        for s in &shard.service {
+            check_service(s)?;
+            let (name, floor, cross_region, queue) = (s.name.clone(), s.floor, s.cross_region, s.queue);
+            part.services.push(Arc::new(Service { name, floor, cross_region, queue }));
+        }
+        for r in &shard.route {
+            part.routes.push(compile_route(r)?);
+        }
+        for c in &shard.customer {
+            check_customer(c)?;
+            part.customers.push(Arc::new(Customer { name: c.name.clone(), rate: c.rate, burst: c.burst }));
+            let Some(name) = c.template.as_deref() else {
+                continue;
+            };
+            let template = templates.get(name).ok_or_else(|| {
+                let field = format!("customer[{}].template", c.name);
+                let remedy = "add the template or correct its name";
+                ConfError::new(WHOLE, field, format!("no template {name:?}"), remedy)
+            })?;
+            for r in render(template, c)? {
+                part.routes.push(compile_route(&r)?);
+            }
+        }
+        for k in &shard.key {
+            part.keys.push(Arc::new(compile_key(k)?));
+        }
+        part.withdrawn = shard.withdrawn.iter().filter_map(|t| from_name(&t.hash)).collect();
+        Ok(part)
+    }
+}
+
+fn compile_route(r: &RouteSource) -> Result<Arc<Route>, ConfError> {
+    check_route(r)?;
+    Ok(Arc::new(Route {
+        name: r.name.clone(),
+        host: r.host.clone(),
+        prefix: r.prefix.clone(),
+        methods: r.methods.clone(),
+        service: r.service.clone(),
+        customer: r.customer.clone(),
+        open: r.open,
+        repeatable: r.repeatable,
+        timeout: Duration::from_millis(r.timeout_ms),
+        dedupe: r.dedupe,
+        cost: r.cost,
+    }))
+}
+
+fn compile_key(k: &KeySource) -> Result<Key, ConfError> {
+    let hash = from_name(&k.hash).ok_or_else(|| {
+        let field = format!("key[{}].hash", k.name);
+        let remedy = "create keys with `pomeloctl keys give`";
+        ConfError::new(WHOLE, field, "not 64 hexadecimal digits", remedy)
+    })?;
+    let expires = k.expires.map(|s| SystemTime::UNIX_EPOCH + Duration::from_secs(s));
+    Ok(Key { name: k.name.clone(), hash, customer: k.customer.clone(), expires })
+}
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! The compiled configuration as traffic reads it. Immutable; a change makes a new one.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -160,6 +160,8 @@
     pub customers: BTreeMap<CustomerId, Arc<Customer>>,
     /// Keys by hash.
     pub keys: HashMap<KeyHash, Arc<Key>>,
+    /// Withdrawn keys that this version carries. Invariant: none of them is in `keys`.
+    pub withdrawn: HashSet<KeyHash>,
     /// Routes by first path segment; within each, longest prefix first and hosts before any host.
     pub(crate) routes: HashMap<Box<str>, Vec<Arc<Route>>>,
 }
--- a/crates/kernel/src/board.rs
+++ b/crates/kernel/src/board.rs
@@ -88,7 +88,8 @@
     pub servers: BTreeMap<ServerId, ServerEntry>,
     /// Configuration in force. Its version never falls. Written by configuration.
     pub conf: Option<Arc<Snapshot>>,
-    /// Withdrawn keys, also those not stored yet. Never shrinks. Written by configuration.
+    /// Withdrawn keys that `conf` does not carry as withdrawn yet. A key leaves only together with the
+    /// adoption of a `conf` that carries it. Written by configuration.
     pub withdrawn: Arc<HashSet<KeyHash>>,
     /// Digest over `withdrawn`, exchanged by pulls. Written by configuration.
     pub withdrawn_digest: u64,
--- /dev/null
+++ b/crates/sync/src/api.rs
@@ -0,0 +1,201 @@
+//! The operator API of configuration, keys and history.
+
+use base::Version;
+use conf::source::{CustomerSource, KeySource, Source};
+use kernel::{ApiRep, ApiReq, Cx, Ticket};
+use rand::Rng;
+use serde_json::{Value, json};
+use store::{StoreError, StoreOp, StoreRep};
+use wire::conf::Withdrawal;
+
+use crate::advance::replacement;
+use crate::area::Sync;
+use crate::commit::Job;
+use crate::edit::{Edit, GiveKey};
+use crate::head::{HistoryText, history_page};
+
+/// Random bytes of a key's secret.
+const SECRET_BYTES: usize = 24;
+
+impl Sync {
+    /// Handles a request; returns whether it belongs to this area.
+    pub(crate) fn handle_api(&mut self, cx: &mut Cx<'_>, ticket: Ticket, req: &ApiReq) -> bool {
+        let rep = match (&*req.method, req.segments().as_slice()) {
+            ("PUT", ["v1", "config"]) => self.put_config(cx, ticket, req),
+            ("GET", ["v1", "config"]) => Some(self.show_config()),
+            ("POST", ["v1", "rollback"]) => self.rollback(cx, ticket, req),
+            ("GET", ["v1", "history"]) => self.history(cx, ticket, req),
+            ("GET", ["v1", "customers"]) => Some(self.show_customers()),
+            ("GET", ["v1", "customers", name]) => Some(self.show_customer(name)),
+            ("PUT", ["v1", "customers", name]) => self.put_customer(cx, ticket, name, req),
+            ("DELETE", ["v1", "customers", name]) => {
+                self.change(cx, ticket, Edit::RemoveCustomer((*name).into()), base(req))
+            }
+            ("GET", ["v1", "keys"]) => Some(self.show_keys()),
+            ("POST", ["v1", "keys"]) => self.give(cx, ticket, &req.body),
+            ("DELETE", ["v1", "keys", name]) => self.withdraw_key(cx, ticket, name),
+            _ => return false,
+        };
+        if let Some(rep) = rep {
+            cx.answer(ticket, rep);
+        }
+        true
+    }
+
+    fn change(
+        &mut self,
+        cx: &mut Cx<'_>,
+        ticket: Ticket,
+        edit: Edit,
+        base: Option<Version>,
+    ) -> Option<ApiRep> {
+        let job = Job::new(cx, Some(ticket), edit, base);
+        self.enqueue(cx, job);
+        None
+    }
+
+    fn put_config(&mut self, cx: &mut Cx<'_>, ticket: Ticket, req: &ApiReq) -> Option<ApiRep> {
+        let text = String::from_utf8_lossy(&req.body);
+        let source = match conf::source::parse("request", &text) {
+            Ok(source) => source,
+            Err(e) => return Some(invalid(&e)),
+        };
+        // Without a base the change builds on what this daemon has in force now.
+        let base = base(req).or_else(|| Some(cx.board.version()));
+        self.change(cx, ticket, replacement(&source), base)
+    }
+
+    fn rollback(&mut self, cx: &mut Cx<'_>, ticket: Ticket, req: &ApiReq) -> Option<ApiRep> {
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        let Some(version) = body["version"].as_u64() else {
+            let remedy = "send a JSON object such as {\"version\": 7}";
+            return Some(ApiRep::error(400, "bad-rollback", "no version named", remedy));
+        };
+        let base = base(req).or_else(|| Some(cx.board.version()));
+        self.change(cx, ticket, Edit::Rollback(version), base)
+    }
+
+    fn put_customer(&mut self, cx: &mut Cx<'_>, ticket: Ticket, name: &str, req: &ApiReq) -> Option<ApiRep> {
+        let customer: CustomerSource = match serde_json::from_slice(&req.body) {
+            Ok(customer) => customer,
+            Err(e) => {
+                let remedy = "send name, rate, burst, template and params as JSON";
+                return Some(ApiRep::error(400, "bad-customer", &e.to_string(), remedy));
+            }
+        };
+        if *customer.name != *name {
+            let problem = "the names in path and body differ";
+            return Some(ApiRep::error(400, "bad-customer", problem, "send the same name twice"));
+        }
+        self.change(cx, ticket, Edit::PutCustomer(Box::new(customer)), base(req))
+    }
+
+    fn give(&mut self, cx: &mut Cx<'_>, ticket: Ticket, body: &[u8]) -> Option<ApiRep> {
+        let give: GiveKey = match serde_json::from_slice(body) {
+            Ok(give) => give,
+            Err(e) => {
+                let remedy = "send customer and name, and expires in seconds since the epoch if wanted";
+                return Some(ApiRep::error(400, "bad-key", &e.to_string(), remedy));
+            }
+        };
+        if give.expires.is_some_and(|at| at.saturating_mul(1_000) <= cx.wall_ms) {
+            let remedy = "give a time in the future, in seconds since the epoch";
+            return Some(ApiRep::error(400, "bad-key", "expires has passed", remedy));
+        }
+        // Not from the seeded generator of control: a secret must not be guessed from the seed.
+        let bytes: [u8; SECRET_BYTES] = rand::rng().random();
+        let secret = hex(&bytes);
+        let hash = conf::tree::name(&self.hasher.hash(secret.as_bytes()));
+        let GiveKey { name, customer, expires } = give;
+        let edit = Edit::Give(KeySource { name, hash, customer, expires });
+        let mut job = Job::new(cx, Some(ticket), edit, None);
+        job.answer = json!({ "secret": secret });
+        self.enqueue(cx, job);
+        None
+    }
+
+    fn withdraw_key(&mut self, cx: &mut Cx<'_>, ticket: Ticket, name: &str) -> Option<ApiRep> {
+        let hash = self.config.keys().find(|k| *k.name == *name).map(|k| k.hash.clone());
+        let Some(key) = hash.and_then(|hash| conf::tree::from_name(&hash)) else {
+            let problem = format!("no key {name:?} at version {}", cx.board.version());
+            let remedy = "see `pomeloctl keys list`; a key given a moment ago may not be known here yet";
+            return Some(ApiRep::error(404, "no-such-key", &problem, remedy));
+        };
+        let list = vec![Withdrawal { key, at_ms: cx.wall_ms }];
+        self.withdraw(cx, &list, None);
+        self.change(cx, ticket, Edit::Withdraw(list), None)
+    }
+
+    fn history(&mut self, cx: &mut Cx<'_>, ticket: Ticket, req: &ApiReq) -> Option<ApiRep> {
+        let near = param(req, "before").unwrap_or_else(|| cx.board.version().max(cx.board.head_seen));
+        let token = cx.store(StoreOp::Range { prefix: history_page(near).into() });
+        self.reads.push((token, ticket));
+        None
+    }
+
+    fn show_config(&self) -> ApiRep {
+        let source = Source { key: Vec::new(), ..self.config.to_source() };
+        let version = self.head.map_or(0, |h| h.version);
+        match toml::to_string(&source) {
+            Ok(text) => ApiRep::ok(json!({ "version": version, "toml": text })),
+            Err(e) => ApiRep::error(500, "no-toml", &e.to_string(), "report this as a fault of pomelopath"),
+        }
+    }
+
+    fn show_customers(&self) -> ApiRep {
+        let customers: Vec<_> = self.config.customers().collect();
+        ApiRep::ok(json!({ "version": self.head.map_or(0, |h| h.version), "customers": customers }))
+    }
+
+    fn show_customer(&self, name: &str) -> ApiRep {
+        match self.config.customers().find(|c| *c.name == *name) {
+            Some(customer) => ApiRep::ok(customer),
+            None => ApiRep::error(404, "no-such-customer", "no such customer", "see `pomeloctl customers`"),
+        }
+    }
+
+    fn show_keys(&self) -> ApiRep {
+        let unstored = self.withdrawals.list();
+        let is_withdrawn = |k: &KeySource| unstored.iter().any(|w| *conf::tree::name(&w.key) == *k.hash);
+        let show = |k: &KeySource| {
+            let state = if is_withdrawn(k) { "withdrawn, not yet stored" } else { "valid" };
+            json!({ "name": k.name, "customer": k.customer, "expires": k.expires, "state": state })
+        };
+        let keys: Vec<_> = self.config.keys().map(show).collect();
+        ApiRep::ok(json!({ "keys": keys, "withdrawals_unstored": unstored.len() }))
+    }
+}
+
+/// Answers with the history rows that were read.
+pub(crate) fn answer_history(cx: &mut Cx<'_>, ticket: Ticket, res: &Result<StoreRep, StoreError>) {
+    let rep = if let Ok(StoreRep::Rows(rows)) = res {
+        let texts = rows.iter().filter_map(|(_, row)| serde_json::from_str(&row.value).ok());
+        let mut changes: Vec<HistoryText> = texts.collect();
+        changes.reverse();
+        ApiRep::ok(json!({ "changes": changes }))
+    } else {
+        let remedy = "repeat when `pomeloctl status` shows the store up";
+        ApiRep::error(503, "store-down", "the store does not answer", remedy)
+    };
+    cx.answer(ticket, rep);
+}
+
+/// Hexadecimal text of a secret's bytes.
+fn hex(bytes: &[u8; SECRET_BYTES]) -> String {
+    let digit = |nibble: u8| char::from_digit(u32::from(nibble), 16).unwrap_or('0');
+    bytes.iter().flat_map(|b| [digit(b >> 4), digit(b & 15)]).collect()
+}
+
+fn invalid(e: &conf::ConfError) -> ApiRep {
+    let mut rep = ApiRep::error(422, "invalid", &e.to_string(), &e.remedy);
+    rep.body["fault"] = serde_json::to_value(e).unwrap_or(Value::Null);
+    rep
+}
+
+fn param(req: &ApiReq, name: &str) -> Option<Version> {
+    req.query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+fn base(req: &ApiReq) -> Option<Version> {
+    param(req, "base")
+}
--- a/crates/sync/src/edit.rs
+++ b/crates/sync/src/edit.rs
@@ -1,18 +1,49 @@
-//! Changes of a configuration: a whole new source, or a key given or withdrawn.
+//! Changes of a configuration.
 
-use conf::ConfError;
-use conf::source::{KeySource, Source};
+use base::{CustomerId, Version};
+use conf::shard::shard_of;
+use conf::source::{CustomerSource, KeySource};
+use conf::{ConfError, Config, Tombstone};
 use serde::Deserialize;
+use wire::conf::Withdrawal;
+
+/// Time for which a withdrawn key's hash stays in the configuration, in milliseconds.
+pub const TOMBSTONE_MS: u64 = 7 * 24 * 3_600 * 1_000;
 
 /// A change that an operator asks for.
 #[derive(Clone, Debug)]
 pub enum Edit {
-    /// Replaces everything but the keys, which are given and withdrawn on their own.
-    Replace(Box<Source>),
+    /// Replaces everything but keys, which are given and withdrawn on their own.
+    Replace(Box<Config>),
+    /// Replaces everything but keys by what an earlier version had.
+    Rollback(Version),
+    /// Adds or replaces a customer.
+    PutCustomer(Box<CustomerSource>),
+    /// Removes a customer and its keys.
+    RemoveCustomer(CustomerId),
     /// Adds a key.
     Give(KeySource),
-    /// Removes a key.
-    Withdraw(Box<str>),
+    /// Removes keys for good.
+    Withdraw(Vec<Withdrawal>),
+}
+
+impl Edit {
+    /// Name in the history.
+    pub fn what(&self) -> &'static str {
+        match self {
+            Self::Replace(_) => "apply",
+            Self::Rollback(_) => "rollback",
+            Self::PutCustomer(_) => "put customer",
+            Self::RemoveCustomer(_) => "remove customer",
+            Self::Give(_) => "give key",
+            Self::Withdraw(_) => "withdraw key",
+        }
+    }
+
+    /// Whether the change means the same on top of any version, so that a conflict may be retried.
+    pub fn is_commutative(&self) -> bool {
+        !matches!(self, Self::Replace(_) | Self::Rollback(_))
+    }
 }
 
 /// Body of the call that gives a key.
@@ -28,34 +59,65 @@
     pub expires: Option<u64>,
 }
 
-/// Applies an edit to a source.
+/// Applies an edit. [`Edit::Rollback`] has to be loaded and made a [`Edit::Replace`] before.
 ///
 /// # Errors
-/// Fails when a key's name is taken or not known.
-pub fn apply(source: &Source, edit: &Edit) -> Result<Source, ConfError> {
-    let mut next = source.clone();
+/// Fails when a name is taken or not known.
+pub fn apply(config: &Config, edit: &Edit, wall_ms: u64) -> Result<Config, ConfError> {
+    let mut next = config.clone();
     match edit {
-        Edit::Replace(new) => {
-            let keys = std::mem::take(&mut next.key);
-            next = (**new).clone();
-            let named: Vec<_> = next.key.iter().map(|k| k.name.clone()).collect();
-            next.key.extend(keys.into_iter().filter(|k| !named.contains(&k.name)));
+        Edit::Replace(new) => next = config.replaced_by(new),
+        Edit::Rollback(version) => {
+            let field = format!("version {version}");
+            return Err(ConfError::new("history", field, "not loaded", "repeat the rollback"));
+        }
+        Edit::PutCustomer(customer) => next.edit(shard_of(&customer.name), |s| {
+            s.customer.retain(|c| c.name != customer.name);
+            s.customer.push((**customer).clone());
+        }),
+        Edit::RemoveCustomer(name) => {
+            if !config.customers().any(|c| c.name == *name) {
+                let field = format!("customer[{name}]");
+                let remedy = "see `pomeloctl customers`";
+                return Err(ConfError::new("customers", field, "no such customer", remedy));
+            }
+            let gone: Vec<_> = config.keys().filter(|k| k.customer == *name).cloned().collect();
+            next.edit(shard_of(name), |s| s.customer.retain(|c| c.name != *name));
+            for key in gone {
+                bury(&mut next, &key.hash, wall_ms, wall_ms);
+            }
         }
         Edit::Give(key) => {
-            if next.key.iter().any(|k| k.name == key.name) {
+            if config.keys().any(|k| k.name == key.name) {
                 let field = format!("key[{}].name", key.name);
                 return Err(ConfError::new("keys", field, "name used twice", "choose another name"));
             }
-            next.key.push(key.clone());
+            next.edit(shard_of(&key.customer), |s| s.key.push(key.clone()));
         }
-        Edit::Withdraw(name) => {
-            let before = next.key.len();
-            next.key.retain(|k| k.name != *name);
-            if next.key.len() == before {
-                let field = format!("key[{name}]");
-                return Err(ConfError::new("keys", field, "no such key", "see `pomeloctl keys list`"));
+        Edit::Withdraw(list) => {
+            for w in list {
+                bury(&mut next, &conf::tree::name(&w.key), w.at_ms, wall_ms);
             }
         }
     }
     Ok(next)
 }
+
+/// Removes the key with this hash and leaves a tombstone. Doing it twice changes nothing.
+fn bury(config: &mut Config, hash: &str, at_ms: u64, wall_ms: u64) {
+    let owner = config.keys().find(|k| *k.hash == *hash).map(|k| k.customer.clone());
+    if let Some(customer) = owner {
+        config.edit(shard_of(&customer), |s| s.key.retain(|k| *k.hash != *hash));
+    }
+    let index = shard_of(hash);
+    let is_buried = config.shards[index].value.withdrawn.iter().any(|t| *t.hash == *hash);
+    if is_buried {
+        return;
+    }
+    // A clock that runs ahead or behind must not shorten the time below what the committer sees.
+    let until_ms = at_ms.max(wall_ms) + TOMBSTONE_MS;
+    config.edit(index, |s| {
+        s.withdrawn.retain(|t| t.until_ms > wall_ms);
+        s.withdrawn.push(Tombstone { hash: hash.into(), until_ms });
+    });
+}
--- a/crates/sync/src/head.rs
+++ b/crates/sync/src/head.rs
@@ -1,18 +1,93 @@
-//! The `head` row: the one place where the configuration in force is agreed.
+//! The `head` row, the one place where the configuration in force is agreed, and its history.
 
-use base::Version;
+use base::{ChangeId, Version};
+use conf::Digest;
 use serde::{Deserialize, Serialize};
+use store::Row;
 
 /// Key of the head row.
 pub const HEAD_KEY: &str = "fleet/head";
+/// Versions kept in the history.
+pub const HISTORY_KEEP: Version = 10_000;
+/// Versions under one prefix of the history.
+const PAGE: Version = 100;
 
-/// Content of the head row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A committed configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head {
     /// Version of the configuration.
     pub version: Version,
-    /// Name of the root object.
+    /// Digest of the root chunk.
+    pub root: Digest,
+    /// Id of the change that made it.
+    pub change: ChangeId,
+}
+
+/// Text of the head row.
+#[derive(Debug, Serialize, Deserialize)]
+struct HeadText {
+    version: Version,
+    root: Box<str>,
+    change: Box<str>,
+}
+
+/// Text of a history row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HistoryText {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Hexadecimal digest of the root chunk.
     pub root: Box<str>,
-    /// Hexadecimal id of the change that made it.
+    /// Hexadecimal id of the change.
     pub change: Box<str>,
+    /// What was changed, e.g. `apply`.
+    pub what: Box<str>,
+    /// Time of the commit, milliseconds since the epoch.
+    pub at_ms: u64,
+    /// Daemon that committed it.
+    pub by: Box<str>,
+}
+
+impl Head {
+    /// Text for the row.
+    pub fn to_text(&self) -> String {
+        let text = HeadText {
+            version: self.version,
+            root: conf::tree::name(&self.root),
+            change: change_name(self.change),
+        };
+        serde_json::to_string(&text).unwrap_or_default()
+    }
+
+    /// Reads the row's text; none when it is malformed.
+    pub fn from_row(row: &Row) -> Option<Self> {
+        let text: HeadText = serde_json::from_str(&row.value).ok()?;
+        Self::from_text(text.version, &text.root, &text.change)
+    }
+
+    /// Reads a history row's text; none when it is malformed.
+    pub fn from_history(row: &Row) -> Option<Self> {
+        let text: HistoryText = serde_json::from_str(&row.value).ok()?;
+        Self::from_text(text.version, &text.root, &text.change)
+    }
+
+    fn from_text(version: Version, root: &str, change: &str) -> Option<Self> {
+        let change = ChangeId::from_str_radix(change, 16).ok()?;
+        Some(Self { version, root: conf::tree::from_name(root)?, change })
+    }
+}
+
+/// Hexadecimal name of a change.
+pub fn change_name(change: ChangeId) -> Box<str> {
+    format!("{change:032x}").into()
+}
+
+/// Key of the history row of a version.
+pub fn history_key(version: Version) -> Box<str> {
+    format!("{}{version:012}", history_page(version)).into()
+}
+
+/// Prefix of the history rows near a version.
+pub fn history_page(version: Version) -> String {
+    format!("conf/history/{:010}/", version / PAGE)
 }
--- a/crates/sync/src/lib.rs
+++ b/crates/sync/src/lib.rs
@@ -6,6 +6,12 @@
 //! assert!(names.contains(&"sync"));
 //! ```
 
+mod advance;
+mod api;
 pub mod area;
+mod commit;
 pub mod edit;
+mod fetch;
 pub mod head;
+mod metrics;
+mod withdraw;
