Judge servers against their service and eject by a coordinator's list

Cause: a daemon lowered weights on five failures in a row that it saw alone, and the choice never left the own data centre: with one failing server as the only one there, 80 of 320 answers were 500. Change: sequential tests on merged counts, an ejection list with deadlines and a floor checked at every daemon, trial, ramp and doubled hold; choice by weight over growing distance; a byte budget of the link. Conclusion: kept; the consecutive count stays as a baseline, not registered.

--- a/crates/health/src/consecutive.rs
+++ b/crates/health/src/consecutive.rs
@@ -1,14 +1,10 @@
-//! Baseline: lowers a server's weight after consecutive bad outcomes seen by this daemon alone.
+//! Baseline for comparison, not registered: lowers a server's weight after consecutive bad outcomes seen by this daemon alone.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use base::{ServerId, event};
-use kernel::{Area, AreaEntry, Cx, Report, Setup, Verdict};
-
-kernel::inventory::submit! {
-    AreaEntry { name: "health", order: 60, build: |setup| Box::new(Consecutive::new(setup)) }
-}
+use kernel::{Area, Cx, Report, Setup, Verdict};
 
 /// Bad outcomes in a row that lower the weight.
 const THRESHOLD: u32 = 5;
@@ -33,7 +29,7 @@
 
 impl Area for Consecutive {
     fn name(&self) -> &'static str {
-        "health"
+        "consecutive"
     }
 
     fn on_report(&mut self, cx: &mut Cx<'_>, report: &Report) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,8 @@
 //! assert!(route::choose(&[], &want, &mut rng).is_none());
 //! ```
 
+pub mod link;
 pub mod pick;
 
+pub use link::Link;
 pub use pick::{Want, choose};
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,16 +1,33 @@
-//! Two random choices, weighted by health, by requests in flight and latency, nearest first.
+//! Two random choices by health, requests in flight, latency and load, nearest first.
+//!
+//! A choice walks the service's servers twice and keeps nothing: the first walk finds the nearest
+//! distance with a sound server that has room, the second draws two of the servers up to that distance.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use base::{Place, ServerId};
 use kernel::ServerView;
 use rand::Rng;
-use smallvec::SmallVec;
+use wire::server::ServerState;
 
-/// Candidates kept on the stack.
-const INLINE: usize = 32;
+/// Weight from which a server counts as sound; below it, a farther sound one is preferred.
+const SOUND_WEIGHT: f32 = 0.25;
+/// Consecutive failures from which the weight falls.
+const FREE_FAILURES: u32 = 1;
+/// Weight that consecutive failures leave at least, so that a recovery is noticed.
+const MIN_WEIGHT: f32 = 0.02;
+/// Time in which a server that became ready reaches its full weight.
+const COLD_RAMP: Duration = Duration::from_secs(10);
+/// Weight at the start of the ramp.
+const COLD_WEIGHT: f32 = 0.3;
+/// Largest influence of the reported load on the cost, as a factor minus one.
+const LOAD_INFLUENCE: f32 = 0.5;
+/// Smallest latency that is told apart, in microseconds.
+const LATENCY_FLOOR_US: u32 = 200;
+/// Distance of a server in another region.
+const FARTHEST: u8 = 2;
 
 /// What a request wants of its server.
 #[derive(Clone, Copy, Debug)]
@@ -21,53 +38,97 @@
     pub tried: &'a [ServerId],
     /// Whether the request may run more than once; only then may it go to a server on trial.
     pub repeatable: bool,
-    /// Whether the service allows servers of other regions.
+    /// Whether the service allows servers of other regions and the link has budget.
     pub cross_region: bool,
     /// Time of the choice.
     pub now: Instant,
 }
 
-/// Chooses a server. Prefers the own data centre, then the own region.
+/// Chooses a server: own data centre, then own region, then across the link. Allocates nothing.
+///
+/// A server whose weight is low is left for a farther sound one, but keeps its small share of
+/// repeatable requests. Unrepeatable requests never go to a server on trial.
 pub fn choose<'a>(
     servers: &'a [Arc<ServerView>],
     want: &Want<'_>,
     rng: &mut impl Rng,
 ) -> Option<&'a Arc<ServerView>> {
-    let usable = |s: &&Arc<ServerView>| s.weight > 0.0 && !want.tried.contains(&s.info.id) && has_room(s);
-    let near = |level: u8| {
-        servers
-            .iter()
-            .filter(usable)
-            .filter(move |s| distance(s, want.place) == level)
-            .collect::<SmallVec<[_; INLINE]>>()
-    };
-    let farthest = if want.cross_region { 2 } else { 1 };
-    (0..=farthest).map(near).find(|c| !c.is_empty()).and_then(|c| two_choices(&c, rng))
+    let reach = if want.cross_region { FARTHEST } else { FARTHEST - 1 };
+    let usable = |s: &&Arc<ServerView>| is_usable(s, want) && distance(s, want.place) <= reach;
+    let sound = servers.iter().filter(usable).filter(|s| weight(s, want.now) >= SOUND_WEIGHT);
+    let nearest = sound.map(|s| distance(s, want.place)).min();
+    let limit = nearest.unwrap_or(reach);
+    let near = servers.iter().filter(usable).filter(|s| distance(s, want.place) <= limit);
+    let only_sound = !want.repeatable && nearest.is_some();
+    let drawn = near.filter(|s| !only_sound || weight(s, want.now) >= SOUND_WEIGHT);
+    two_choices(drawn, want.now, rng)
+}
+
+fn is_usable(server: &ServerView, want: &Want<'_>) -> bool {
+    server.weight > 0.0
+        && (want.repeatable || !server.trial)
+        && !want.tried.contains(&server.info.id)
+        && server.cell.in_flight.load(Relaxed) < server.info.slots
 }
 
 fn distance(server: &ServerView, place: &Place) -> u8 {
     match &server.info.place {
         p if p == place => 0,
         p if p.region == place.region => 1,
-        _ => 2,
+        _ => FARTHEST,
     }
 }
 
-fn has_room(server: &ServerView) -> bool {
-    server.cell.in_flight.load(Relaxed) < server.info.slots
+/// Weight by verdict, cold start and the last answers.
+fn weight(server: &ServerView, now: Instant) -> f32 {
+    let failures = server.cell.failures.load(Relaxed);
+    let halvings = failures.saturating_sub(FREE_FAILURES).min(8);
+    let by_failures = 0.5_f32.powi(halvings as i32).max(MIN_WEIGHT);
+    server.weight * by_failures * warmth(server, now)
 }
 
-fn two_choices<'a>(candidates: &[&'a Arc<ServerView>], rng: &mut impl Rng) -> Option<&'a Arc<ServerView>> {
-    if candidates.is_empty() {
-        return None;
+fn warmth(server: &ServerView, now: Instant) -> f32 {
+    if server.info.state == ServerState::Starting {
+        return COLD_WEIGHT;
     }
-    let first = candidates[rng.random_range(0..candidates.len())];
-    let second = candidates[rng.random_range(0..candidates.len())];
-    Some(if cost(first) <= cost(second) { first } else { second })
+    let Some(since) = server.ready_since else { return 1.0 };
+    let part = now.saturating_duration_since(since).as_secs_f32() / COLD_RAMP.as_secs_f32();
+    COLD_WEIGHT + (1.0 - COLD_WEIGHT) * part.min(1.0)
 }
 
-fn cost(server: &ServerView) -> f32 {
-    let latency = server.cell.latency_us.load(Relaxed).max(1) as f32;
+/// Draws two servers by weight in one walk and returns the cheaper one.
+fn two_choices<'a>(
+    servers: impl Iterator<Item = &'a Arc<ServerView>>,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<ServerView>> {
+    let mut sum = 0.0;
+    let mut drawn: [Option<&Arc<ServerView>>; 2] = [None, None];
+    for server in servers {
+        let weight = weight(server, now);
+        sum += weight;
+        for slot in &mut drawn {
+            if slot.is_none() || rng.random::<f32>() * sum < weight {
+                *slot = Some(server);
+            }
+        }
+    }
+    let [first, second] = drawn;
+    let (first, second) = (first?, second?);
+    Some(if cost(first, second) <= cost(second, first) { first } else { second })
+}
+
+/// Expected wait at `server`; an unknown latency counts as that of the other choice.
+fn cost(server: &ServerView, other: &ServerView) -> f32 {
+    let known = |s: &ServerView| s.cell.latency_us.load(Relaxed);
+    let own = if known(server) == 0 { known(other) } else { known(server) };
     let in_flight = server.cell.in_flight.load(Relaxed) as f32;
-    (in_flight + 1.0) * latency / server.weight
+    (in_flight + 1.0) * own.max(LATENCY_FLOOR_US) as f32 * load_factor(server, in_flight)
+}
+
+/// A reported load only adds cost, and never less than this daemon's own requests there prove.
+fn load_factor(server: &ServerView, in_flight: f32) -> f32 {
+    let reported = if server.info.load.is_finite() { server.info.load.clamp(0.0, 1.0) } else { 0.0 };
+    let proven = (in_flight / server.info.slots.max(1) as f32).min(1.0);
+    1.0 + LOAD_INFLUENCE * reported.max(proven)
 }
--- a/crates/wire/src/health.rs
+++ b/crates/wire/src/health.rs
@@ -3,12 +3,12 @@
 use base::{ServerId, ServiceId};
 use serde::{Deserialize, Serialize};
 
-/// What one daemon saw of one server in one period.
+/// What one daemon saw of one server since its last digest.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
     /// The server.
     pub server: ServerId,
-    /// Requests finished in the period.
+    /// Requests finished or overdue in the period.
     pub total: u32,
     /// Requests with a bad outcome that is the server's or the path's.
     pub bad: u32,
@@ -25,6 +25,8 @@
     pub ttl_ms: u32,
     /// Share of its normal work that it may get, 0 to 1; 0 while ejected.
     pub weight: f32,
+    /// Strength of the evidence; when the floor leaves no room for all, the highest are ejected.
+    pub score: f32,
 }
 
 /// What daemons say about the health of servers.
@@ -34,13 +36,22 @@
     Evidence {
         /// The service.
         service: ServiceId,
+        /// Whether the sender finds most servers of several services bad and so doubts itself.
+        starved: bool,
         /// Evidence on each server that had traffic.
         list: Vec<Evidence>,
     },
-    /// The coordinator's ejection list; replaces the earlier one of the service.
+    /// The coordinator suspects a server of the service and asks for frequent digests.
+    Watch {
+        /// The service.
+        service: ServiceId,
+    },
+    /// The coordinator's ejection list; replaces its earlier one of the service.
     Ejections {
         /// The service.
         service: ServiceId,
+        /// Start of the coordinator's process; lists of an earlier start are dropped.
+        incarnation: u64,
         /// Grows with each list of this coordinator.
         seq: u64,
         /// The entries.
