--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,10 +11,12 @@
 
 pub mod budget;
 pub mod concurrency;
+pub mod link;
 pub mod pick;
 pub mod queue;
 
 pub use budget::Budget;
 pub use concurrency::Limit;
+pub use link::Link;
 pub use pick::{Want, choose};
 pub use queue::{FairQueue, Pushed};
