--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -133,7 +133,7 @@
 pub async fn read_message(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
-        let mut part = [0; 16 * 1024];
+        let mut part = vec![0; 16 * 1024];
         let n = stream.read(&mut part).await.ok()?;
         if n == 0 {
             return None;
@@ -279,7 +279,7 @@
 /// A view with one service of these servers.
 pub fn view(servers: &[SocketAddr], withdrawn: bool) -> Arc<View> {
     let hash = hasher().hash(SECRET.as_bytes());
-    let hex: String = hash.iter().map(|b| format!("{b:02x}")).collect();
+    let hex = hash.iter().fold(String::new(), |hex, b| format!("{hex}{b:02x}"));
     let source = conf::source::parse("test.toml", &CONF.replace("HASH", &hex)).unwrap();
     let conf = Arc::new(conf::compile(&source, 1).unwrap());
     let place = Place::new("meseta", "barva");
@@ -288,7 +288,7 @@
     let list = servers.iter().enumerate().map(|(n, addr)| server(n, *addr, &place)).collect();
     view.services.insert("sacristia".into(), Arc::new(ServiceView { service, servers: list }));
     view.conf = Some(conf);
-    view.current_until = Some(Instant::now() + Duration::from_secs(3600));
+    view.current_until = Some(Instant::now() + Duration::from_hours(1));
     if withdrawn {
         view.withdrawn = Arc::new(HashSet::from([hash]));
     }
@@ -330,7 +330,7 @@
 }
 
 fn fund(pools: &Pools) {
-    pools.get("orosi").unwrap().replace(1_000, Instant::now() + Duration::from_secs(3600));
+    pools.get("orosi").unwrap().replace(1_000, Instant::now() + Duration::from_hours(1));
 }
 
 /// A daemon in front of one scripted server.
--- a/crates/route/tests/budget.rs
+++ b/crates/route/tests/budget.rs
@@ -37,8 +37,8 @@
         prop_oneof![6 => Just(Step::First), 3 => Just(Step::Retry), 1 => Just(Step::ConnectRetry)].boxed()
     }
 
-    fn apply(mut state: Self, step: &Step) -> Self {
-        state.firsts += u32::from(matches!(step, Step::First));
+    fn apply(mut state: Self, transition: &Step) -> Self {
+        state.firsts += u32::from(matches!(transition, Step::First));
         state
     }
 }
@@ -58,30 +58,30 @@
         Self { budget: Budget::new(RESERVE, CAP), retries: 0, window: None }
     }
 
-    fn apply(mut sut: Self, _: &Counts, step: Step) -> Self {
-        match step {
+    fn apply(mut state: Self, _ref_state: &Counts, transition: Step) -> Self {
+        match transition {
             Step::First => {
-                sut.budget.earn();
-                if let Some((firsts, _)) = &mut sut.window {
+                state.budget.earn();
+                if let Some((firsts, _)) = &mut state.window {
                     *firsts += 1;
                 }
             }
-            Step::Retry if sut.budget.spend(RetryReason::Broken) => {
-                sut.retries += 1;
-                if let Some((_, retries)) = &mut sut.window {
+            Step::Retry if state.budget.spend(RetryReason::Broken) => {
+                state.retries += 1;
+                if let Some((_, retries)) = &mut state.window {
                     *retries += 1;
                 }
             }
-            Step::Retry => sut.window = Some((0, 0)),
-            Step::ConnectRetry => assert!(sut.budget.spend(RetryReason::Connect)),
+            Step::Retry => state.window = Some((0, 0)),
+            Step::ConnectRetry => assert!(state.budget.spend(RetryReason::Connect)),
         }
-        sut
+        state
     }
 
-    fn check_invariants(sut: &Self, counts: &Counts) {
-        let allowed = f64::from(counts.firsts) * MAX_SHARE + f64::from(RESERVE);
-        assert!(f64::from(sut.retries) <= allowed);
-        if let Some((firsts, retries)) = sut.window {
+    fn check_invariants(state: &Self, ref_state: &Counts) {
+        let allowed = f64::from(ref_state.firsts) * MAX_SHARE + f64::from(RESERVE);
+        assert!(f64::from(state.retries) <= allowed);
+        if let Some((firsts, retries)) = state.window {
             assert!(f64::from(retries) <= f64::from(firsts) * MAX_SHARE + 1.0);
         }
     }
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -41,8 +41,8 @@
         .boxed()
     }
 
-    fn apply(mut state: Self, step: &Step) -> Self {
-        if let Step::Push { .. } = step {
+    fn apply(mut state: Self, transition: &Step) -> Self {
+        if let Step::Push { .. } = transition {
             state.next += 1;
         }
         state
@@ -79,47 +79,47 @@
         Self { queue: FairQueue::new(MAX_LEN), lists: Lists::default() }
     }
 
-    fn apply(mut sut: Self, after: &Lists, step: Step) -> Self {
-        match step {
+    fn apply(mut state: Self, ref_state: &Lists, transition: Step) -> Self {
+        match transition {
             Step::Push { customer, cost } => {
                 let (name, weight) = CUSTOMERS[customer];
-                let was_full = sut.len() == MAX_LEN;
-                let pushed = sut.queue.push(name, weight, cost, after.next);
+                let was_full = state.len() == MAX_LEN;
+                let pushed = state.queue.push(name, weight, cost, ref_state.next);
                 match pushed {
                     Pushed::Queued => assert!(!was_full),
                     Pushed::Displaced(item) => {
-                        let own = sut.load(customer);
-                        let victim = sut.lists.items.iter().find(|(_, l)| l.contains(&item)).unwrap().0;
-                        assert!(was_full && sut.load(*victim) > own);
-                        sut.remove(item, false);
+                        let own = state.load(customer);
+                        let victim = state.lists.items.iter().find(|(_, l)| l.contains(&item)).unwrap().0;
+                        assert!(was_full && state.load(*victim) > own);
+                        state.remove(item, false);
                     }
                     Pushed::Full(item) => {
-                        assert!(was_full && item == after.next);
-                        let own = sut.load(customer) + 1.0 / weight;
-                        assert!((0..CUSTOMERS.len()).all(|c| c == customer || sut.load(c) <= own));
-                        return sut;
+                        assert!(was_full && item == ref_state.next);
+                        let own = state.load(customer) + 1.0 / weight;
+                        assert!((0..CUSTOMERS.len()).all(|c| c == customer || state.load(c) <= own));
+                        return state;
                     }
                 }
-                sut.lists.items.entry(customer).or_default().push_back(after.next);
+                state.lists.items.entry(customer).or_default().push_back(ref_state.next);
             }
-            Step::Pop => match sut.queue.pop() {
-                Some(item) => sut.remove(item, true),
-                None => assert_eq!(sut.len(), 0),
+            Step::Pop => match state.queue.pop() {
+                Some(item) => state.remove(item, true),
+                None => assert_eq!(state.len(), 0),
             },
             Step::Drop { below } => {
-                let removed = sut.queue.remove_unless(|item| *item >= below);
+                let removed = state.queue.remove_unless(|item| *item >= below);
                 assert!(removed.iter().all(|item| *item < below));
-                for list in sut.lists.items.values_mut() {
+                for list in state.lists.items.values_mut() {
                     list.retain(|item| *item >= below);
                 }
             }
         }
-        sut
+        state
     }
 
-    fn check_invariants(sut: &Self, _: &Lists) {
-        assert_eq!(sut.queue.len(), sut.len());
-        assert!(sut.queue.len() <= MAX_LEN);
+    fn check_invariants(state: &Self, _ref_state: &Lists) {
+        assert_eq!(state.queue.len(), state.len());
+        assert!(state.queue.len() <= MAX_LEN);
     }
 }
 
