Give the permit of a stuck try back, and wait a second for a first server

Cause: in the experiment orders a silent server held all permits of each daemon for the route's 10 s, so that p90 was 5.5 s; daemons that had just started refused 68 orders for want of servers they had not heard of yet. Change: a try without progress gives its permit back (slots still bound requests at the server); a first choice waits up to 1 s for a server, and judges the key again while it waits. Conclusion: concurrency must count requests that make progress only.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -71,7 +71,7 @@
         };
         let doubt = job.trace.sent(server);
         run.set_sent(conn.was_idle.then_some(conn.opened));
-        match send(&mut conn, req, job, server).await {
+        match send(&mut conn, req, job, server, permit).await {
             Sent::Head(rep) => break (rep, conn, doubt),
             Sent::NotWritten => {
                 job.trace.set_doubt(doubt);
@@ -121,7 +121,15 @@
     Silent,
 }
 
-async fn send(conn: &mut Conn, req: Request<RequestBody>, job: &Job, server: &ServerView) -> Sent {
+/// A try without progress gives its permit back, so that one silent server can't hold all of them; requests
+/// at the server itself stay bounded by its slots.
+async fn send(
+    conn: &mut Conn,
+    req: Request<RequestBody>,
+    job: &Job,
+    server: &ServerView,
+    permit: &mut Option<Permit>,
+) -> Sent {
     let head = conn.sender.try_send_request(req);
     let mut head = std::pin::pin!(head);
     let wait = progress_time(server);
@@ -137,7 +145,10 @@
             Err(_late) if may_go_elsewhere(job) && job.spend_retry(RetryReason::Silent) => {
                 return Sent::Silent;
             }
-            Err(_late) => progress_at += wait,
+            Err(_late) => {
+                *permit = None;
+                progress_at += wait;
+            }
         }
     }
 }
@@ -175,7 +186,7 @@
     let (mut head, mut incoming) = rep.into_parts();
     let hint = incoming.size_hint();
     let mut buf = BytesMut::new();
-    let part = match read_patiently(job, &run, &mut incoming, &mut buf).await {
+    let part = match read_patiently(job, &run, &mut incoming, &mut buf, permit).await {
         Received::Read(part) => part,
         Received::Cut => {
             run.finish(OutcomeKind::Truncated, buf.len() as u64);
@@ -221,7 +232,13 @@
     Silent,
 }
 
-async fn read_patiently(job: &Job, run: &Try, incoming: &mut Incoming, buf: &mut BytesMut) -> Received {
+async fn read_patiently(
+    job: &Job,
+    run: &Try,
+    incoming: &mut Incoming,
+    buf: &mut BytesMut,
+    permit: &mut Option<Permit>,
+) -> Received {
     let wait = progress_time(run.server());
     let mut seen = 0;
     let mut progress_at = Instant::now() + wait;
@@ -236,6 +253,9 @@
         if is_stuck && may_go_elsewhere(job) && job.spend_retry(RetryReason::Silent) {
             return Received::Silent;
         }
+        if is_stuck {
+            *permit = None;
+        }
         seen = buf.len();
         progress_at += wait;
     }
--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -33,6 +33,8 @@
 const TOKEN_WAIT: Duration = Duration::from_millis(500);
 /// Longest pause before busy servers are looked at again.
 const BUSY_WAIT: Duration = Duration::from_millis(20);
+/// Longest wait for a first server when none may take work.
+const SERVER_WAIT: Duration = Duration::from_secs(1);
 /// Weight of all callers of open routes together, in the unit of customers' rates.
 const OPEN_WEIGHT: f64 = 100.0;
 
@@ -180,7 +182,9 @@
             Take::Empty => {
                 shared.report(Report::Demand { customer: customer.clone(), tokens: admitted.route.cost });
                 if tokio::time::timeout_at(until.into(), changed).await.is_err() {
-                    return Err(Refusal::TokensUnconfirmed.into());
+                    let is_stopping = shared.draining.load(Relaxed);
+                    let refusal = if is_stopping { Refusal::Stopping } else { Refusal::TokensUnconfirmed };
+                    return Err(refusal.into());
                 }
             }
         }
@@ -230,7 +234,7 @@
     let mut last = Refusal::NoServer;
     let mut fallback = None;
     while reached < MAX_TRIES && tried.len() < MAX_SERVERS && job.body.is_left() {
-        let Some(server) = choose(job, gate, &tried).await else {
+        let Some(server) = choose(job, gate, &tried).await? else {
             break;
         };
         tried.push(server.info.id.clone());
@@ -276,12 +280,15 @@
     event!(Debug, RequestRetried, "id={} reason={}", job.trace.id, reason.code());
 }
 
-/// Chooses a server; waits while those that are left are busy.
-async fn choose(job: &Job, gate: &Gate, tried: &[ServerId]) -> Option<Arc<ServerView>> {
+/// Chooses a server; waits while those that are left are busy and the key is valid.
+async fn choose(job: &Job, gate: &Gate, tried: &[ServerId]) -> Result<Option<Arc<ServerView>>, Refusal> {
     let mut rng = rand::rngs::SmallRng::from_rng(&mut rand::rng());
+    let patience = Instant::now() + SERVER_WAIT;
     loop {
         let view = job.shared.view.load_full();
-        let service = view.services.get(job.service())?;
+        let Some(service) = view.services.get(job.service()) else {
+            return Ok(None);
+        };
         let want = route::Want {
             place: &view.place,
             tried,
@@ -290,12 +297,15 @@
             now: Instant::now(),
         };
         if let Some(server) = route::choose(&service.servers, &want, &mut rng) {
-            return Some(Arc::clone(server));
+            return Ok(Some(Arc::clone(server)));
         }
-        if !is_busy(service, &view, tried) {
-            return None;
+        // A daemon that just started may not have heard of the servers yet.
+        let may_come = tried.is_empty() && Instant::now() < patience;
+        if !may_come && !is_busy(service, &view, tried) {
+            return Ok(None);
         }
         gate.freed(BUSY_WAIT).await;
+        job.recheck()?;
     }
 }
 
--- a/crates/edge/tests/connections.rs
+++ b/crates/edge/tests/connections.rs
@@ -43,7 +43,7 @@
         streams.push(stream);
     }
     let queued = "pomelo_queued_requests{service=\"sacristia\"}";
-    eventually("one request waits", || daemon.metric(queued) >= 1).await;
+    eventually("one request waits", || daemon.metric(queued) >= 1 && backend.requests().len() == 6).await;
     daemon.shared.publish(&view(&[backend.addr], true));
     let refused = "pomelo_refusals_total{reason=\"key-invalid\"}";
     eventually("it is refused", || daemon.metric(refused) >= 1).await;
@@ -92,3 +92,27 @@
     assert_eq!(seen.len(), 1);
     assert_eq!(seen[0].split_once("\r\n\r\n").map(|(_, body)| body.len()), Some(len));
 }
+
+#[tokio::test]
+async fn a_silent_server_does_not_hold_up_orders_for_others() {
+    let (silent, good) =
+        (common::Backend::start(&[Act::Silent]).await, common::Backend::start(&[Act::Ok]).await);
+    let daemon = common::daemon(&[silent.addr, good.addr], std::sync::Arc::default()).await;
+    let mut view = view(&[silent.addr, good.addr], false);
+    // Of two daemons: the concurrency limit starts at 6 of the 12 slots.
+    std::sync::Arc::get_mut(&mut view).unwrap().region_daemons = 2;
+    daemon.shared.publish(&view);
+    let servers = &view.services["sacristia"].servers;
+    servers[1].cell.in_flight.store(6, std::sync::atomic::Ordering::SeqCst);
+    let stuck: Vec<_> = (0..6).map(|_| daemon.post("/open", "")).collect();
+    let mut stuck = std::pin::pin!(futures_util::future::join_all(stuck));
+    for _ in 0..100 {
+        let _ = futures_util::poll!(&mut stuck);
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    assert_eq!(silent.requests().len(), 6);
+    servers[1].cell.in_flight.store(0, std::sync::atomic::Ordering::SeqCst);
+    let calls = (0..6).map(|_| daemon.post("/quick", ""));
+    let reps = futures_util::future::join_all(calls).await;
+    assert!(reps.iter().all(|r| status(r) == 200), "{reps:?}");
+}
