Rewrite membership, freshness and the registry of servers

Cause: the baselines sent a heartbeat to every member and each renewal of a server to every member, called a member dead on direct silence alone, and knew no other proof of freshness than an own read. Change: heartbeats spread by gossip with indirect probes before a member is given up; servers live by the heartbeats of the daemon that vouches for them, changes travel as numbered deltas; freshness by chains of pulls and by the majority of the store's region; messages of an earlier incarnation are dropped.

--- a/crates/kernel/src/board.rs
+++ b/crates/kernel/src/board.rs
@@ -84,6 +84,15 @@
     pub me: Me,
     /// Other daemons by id, gone ones excluded. Written by membership.
     pub members: BTreeMap<DaemonId, Member>,
+    /// Daemons that ended without leaving, with their places. They count for majorities until they
+    /// return, or their row is out of the table. Written by membership.
+    pub gone: BTreeMap<DaemonId, Place>,
+    /// Changes that each member made to the set of servers that it vouches for, as of its last word.
+    /// Written by membership.
+    pub vouched: BTreeMap<DaemonId, u32>,
+    /// Changes that this daemon made to the set of servers that it vouches for. Never falls. Written by
+    /// the server registry.
+    pub vouch_seq: u32,
     /// Announced servers, gone ones excluded. Written by the server registry.
     pub servers: BTreeMap<ServerId, ServerEntry>,
     /// Configuration in force. Its version never falls. Written by configuration.
@@ -117,6 +126,9 @@
         Self {
             me,
             members: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            vouched: BTreeMap::new(),
+            vouch_seq: 0,
             servers: BTreeMap::new(),
             conf: None,
             withdrawn: Arc::default(),
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod machine;
 pub mod pool;
 pub mod report;
+mod senders;
 pub mod view;
 
 pub use api::{ApiRep, ApiReq, Ticket};
--- a/crates/kernel/src/machine.rs
+++ b/crates/kernel/src/machine.rs
@@ -15,6 +15,7 @@
 use crate::cx::Cx;
 use crate::input::{Event, Input, Output, StoreToken};
 use crate::pool::Pools;
+use crate::senders::Senders;
 use crate::view::ViewBuilder;
 
 /// Interval of [`Input::Tick`] in milliseconds.
@@ -51,6 +52,7 @@
     next_token: StoreToken,
     owners: HashMap<StoreToken, usize>,
     views: ViewBuilder,
+    senders: Senders,
     started: bool,
 }
 
@@ -72,6 +74,7 @@
     /// Makes the kernel with the given areas only, as tests use it.
     pub fn with_areas(setup: Setup, now: Instant, areas: Vec<Box<dyn Area>>) -> Self {
         Self {
+            senders: Senders::new(&setup.registry),
             rng: SmallRng::seed_from_u64(setup.seed),
             board: Board::new(setup.me),
             pools: Arc::new(Pools::new(now)),
@@ -107,7 +110,11 @@
         }
         match input {
             Input::Tick => self.each(&mut turn, |area, cx| area.on_tick(cx)),
-            Input::Msg { from, msg, .. } => self.each(&mut turn, |area, cx| area.on_msg(cx, from, &msg)),
+            Input::Msg { from, incarnation, msg } => {
+                if self.senders.is_newest(from, incarnation) {
+                    self.each(&mut turn, |area, cx| area.on_msg(cx, from, &msg));
+                }
+            }
             Input::Report(report) => self.each(&mut turn, |area, cx| area.on_report(cx, &report)),
             Input::Store { token, res } => {
                 if let Some(index) = self.owners.remove(&token) {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -7,6 +7,15 @@
 //! assert!(names.contains(&"member") && names.contains(&"fresh") && names.contains(&"servers"));
 //! ```
 
+mod drains;
+mod metrics;
+mod proof;
+mod rows;
+mod table;
+mod targets;
+mod vouch;
+
+pub mod announce;
 pub mod fresh;
 pub mod roster;
 pub mod servers;
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -1,119 +1,463 @@
-//! The membership area: finds daemons through the table and seeds, and watches them by heartbeats.
+//! The membership area: finds daemons through the table and seeds, spreads heartbeats, probes the overdue.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use base::{DaemonId, event};
-use kernel::{Area, AreaEntry, Cx, Event, Member, Setup, StoreToken};
+use kernel::{ApiRep, ApiReq, Area, AreaEntry, Cx, Event, Member, Setup, StoreToken, Ticket};
+use prometheus::{IntCounter, IntCounterVec};
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
-use store::{Commit, StoreError, StoreOp, StoreRep, Write};
+use smallvec::SmallVec;
+use store::{Row, StoreError, StoreOp, StoreRep};
 use wire::Msg;
-use wire::member::{MemberInfo, MemberMsg, MemberState};
+use wire::member::{Beat, MemberInfo, MemberMsg, MemberState, Short, short};
+
+use crate::table::{Change, Pace, Table};
+use crate::{metrics, rows, targets};
 
 kernel::inventory::submit! {
     AreaEntry { name: "member", order: 10, build: |setup| Box::new(Roster::new(setup)) }
 }
 
-/// Interval between heartbeats, and between reads of the table.
-const HEARTBEAT: Duration = Duration::from_millis(500);
-/// Silence after which a member counts as gone.
-const DEAD_AFTER: Duration = Duration::from_secs(3);
-/// Prefix of the daemons' rows in the table.
-const ROWS: &str = "daemons/";
+/// Interval between rounds of gossip.
+const ROUND: Duration = Duration::from_millis(200);
+/// Partners in each round.
+const FANOUT: usize = 3;
+/// Heartbeats in one message; it fits a datagram.
+const MAX_BEATS: usize = 80;
+/// Messages of heartbeats to one partner in each round.
+const MAX_BATCHES: usize = 4;
+/// Names asked for in one message.
+const MAX_WANTS: usize = 64;
+/// Interval between probes of one overdue member, and between contacts with unknown daemons.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Daemons that probe an overdue member on behalf of this one.
+const HELPERS: usize = 3;
+/// Overdue members probed in one round, so that the loss of a data centre costs no burst.
+const MAX_PROBES: usize = 16;
+/// Probes on behalf of others that may wait for a heartbeat.
+const MAX_RELAYS: usize = 256;
+/// Time for which a probe on behalf of another daemon waits.
+const RELAY_TIME: Duration = Duration::from_secs(1);
+/// Rounds in which a changed description is passed on.
+const NEWS_ROUNDS: u8 = 4;
+/// Gap between ticks above which this process was paused.
+const PAUSE_GAP: Duration = Duration::from_millis(500);
+/// Interval between reads of the table while no other daemon is known.
+const READ_ALONE: Duration = Duration::from_secs(1);
+/// Interval between reads of the table otherwise, so that a fleet of 560 makes 9 reads a second.
+const READ_INTERVAL: Duration = Duration::from_mins(1);
+/// Interval between attempts to write the own row.
+const WRITE_RETRY: Duration = Duration::from_secs(5);
+/// Time after which the row of a daemon that ended without leaving is deleted.
+const STALE_ROW_AFTER: Duration = Duration::from_mins(10);
+/// Longest wait of a stopping daemon for the deletion of its row.
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+
+/// A probe on behalf of another daemon.
+#[derive(Debug)]
+struct Relay {
+    target: DaemonId,
+    asker: DaemonId,
+    deadline: Instant,
+}
+
+/// What the store knows of this daemon's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnRow {
+    Absent,
+    Writing(StoreToken),
+    Written(u64),
+    Deleting(StoreToken),
+    Deleted,
+}
+
+/// Counters of membership.
+#[derive(Debug)]
+struct Metrics {
+    changes: IntCounterVec,
+    probes: IntCounter,
+}
+
+impl Metrics {
+    fn new(setup: &Setup) -> Self {
+        let registry = &setup.registry;
+        let help = "Changes of members as this daemon saw them";
+        let changes = metrics::counters(registry, "pomelo_member_changes_total", help, "to");
+        let probes = metrics::counter(registry, "pomelo_member_probes_total", "Probes of overdue members");
+        Self { changes, probes }
+    }
+}
 
 /// Membership of one daemon.
 #[derive(Debug)]
 pub struct Roster {
-    seeds: Vec<DaemonId>,
-    heard: BTreeMap<DaemonId, Instant>,
+    table: Table,
+    seeds: BTreeSet<DaemonId>,
+    /// Clock of this daemon's newest heartbeat; grows with each.
+    clock: u32,
+    /// Facts told by the newest heartbeat: version, store down, vouched changes.
+    told: (u64, bool, u32),
     next_beat: Option<Instant>,
-    registered: bool,
+    next_round: Option<Instant>,
+    next_probe: Option<Instant>,
+    next_contact: Option<Instant>,
+    next_read: Option<Instant>,
+    next_write: Option<Instant>,
+    last_tick: Option<Instant>,
+    news: Vec<(MemberInfo, u8)>,
+    relays: Vec<Relay>,
+    row: OwnRow,
     read: Option<StoreToken>,
-    write: Option<StoreToken>,
+    leave_deadline: Option<Instant>,
+    metrics: Metrics,
 }
 
 impl Roster {
     /// Makes the area.
     pub fn new(setup: &Setup) -> Self {
         Self {
-            seeds: setup.peers.clone(),
-            heard: BTreeMap::new(),
+            table: Table::default(),
+            seeds: setup.peers.iter().copied().filter(|p| *p != setup.me.id).collect(),
+            clock: 0,
+            told: (0, false, 0),
             next_beat: None,
-            registered: false,
+            next_round: None,
+            next_probe: None,
+            next_contact: None,
+            next_read: None,
+            next_write: None,
+            last_tick: None,
+            news: Vec::new(),
+            relays: Vec::new(),
+            row: OwnRow::Absent,
             read: None,
-            write: None,
+            leave_deadline: None,
+            metrics: Metrics::new(setup),
         }
     }
 
-    fn beat(&mut self, cx: &mut Cx<'_>) {
+    fn me(cx: &Cx<'_>) -> MemberInfo {
+        let me = &cx.board.me;
         let state = if cx.board.stopping { MemberState::Left } else { MemberState::Alive };
+        MemberInfo { id: me.id, api: me.api, place: me.place.clone(), incarnation: me.incarnation, state }
+    }
+
+    fn facts(cx: &Cx<'_>) -> (u64, bool, u32) {
+        (cx.board.version(), cx.board.store_down, cx.board.vouch_seq)
+    }
+
+    /// Makes a new heartbeat of this daemon.
+    fn own_beat(&mut self, cx: &Cx<'_>) -> Beat {
+        self.clock += 1;
+        self.told = Self::facts(cx);
         let me = &cx.board.me;
-        let info = MemberInfo {
-            id: me.id,
-            api: me.api,
-            place: me.place.clone(),
-            incarnation: me.incarnation,
-            refutation: 0,
-            state,
-        };
-        let mut targets: Vec<_> = cx.board.members.keys().copied().collect();
-        targets.extend(self.seeds.iter().filter(|s| !cx.board.members.contains_key(s)));
-        for to in targets {
-            if to != cx.board.me.id {
-                cx.send(to, Msg::Member(MemberMsg::Update { members: vec![info.clone()] }));
+        let word = u32::from(cx.board.store_down);
+        Beat { daemon: short(me.id, me.incarnation), clock: self.clock, word, vouched: cx.board.vouch_seq }
+    }
+
+    fn partners(&self, cx: &mut Cx<'_>) -> Vec<DaemonId> {
+        let candidates = self.table.iter().filter(|p| p.is_talking() || p.info.state == MemberState::Left);
+        let recent = candidates.filter(|p| cx.now < p.heard + LEAVE_TIME || p.is_talking());
+        let candidates = recent.map(|p| (p.info.id, &p.info.place));
+        targets::pick(cx.rng, &cx.board.me.place.region, candidates, FANOUT)
+    }
+
+    fn round(&mut self, cx: &mut Cx<'_>) {
+        let partners = self.partners(cx);
+        self.spread_news(cx, &partners);
+        let is_due = self.next_beat.is_none_or(|at| cx.now >= at) || self.told != Self::facts(cx);
+        if is_due {
+            let pace = Pace::new(cx.board.members.len() + 1);
+            self.next_beat = Some(cx.now + pace.beat);
+            let beat = self.own_beat(cx);
+            let version = cx.board.version();
+            for to in &partners {
+                cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
+            }
+        }
+        if partners.is_empty() {
+            return;
+        }
+        for _ in 0..MAX_BATCHES {
+            let (version, beats) = self.table.take_hot(partners.len(), MAX_BEATS);
+            if beats.is_empty() {
+                break;
+            }
+            for to in &partners {
+                cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: beats.clone() }));
             }
         }
     }
 
-    fn register(&mut self, cx: &mut Cx<'_>) {
-        let key = format!("{ROWS}{}", cx.board.me.id);
-        let value = json!({"api": cx.board.me.api.to_string()}).to_string();
-        let commit = Commit { checks: vec![], writes: vec![Write::put(&key, &value)] };
-        self.write = Some(cx.store(StoreOp::Commit(commit)));
+    fn spread_news(&mut self, cx: &mut Cx<'_>, partners: &[DaemonId]) {
+        if partners.is_empty() || self.news.is_empty() {
+            return;
+        }
+        let members: Vec<_> = self.news.iter().map(|(info, _)| info.clone()).collect();
+        for to in partners {
+            cx.send(*to, Msg::Member(MemberMsg::Update { members: members.clone() }));
+        }
+        for (_, rounds) in &mut self.news {
+            *rounds -= 1;
+        }
+        self.news.retain(|(_, rounds)| *rounds > 0);
     }
 
-    fn take(&mut self, cx: &mut Cx<'_>, info: &MemberInfo) {
-        if info.id == cx.board.me.id {
+    fn probe(&mut self, cx: &mut Cx<'_>, overdue: &[DaemonId]) {
+        if overdue.is_empty() || self.next_probe.is_some_and(|at| cx.now < at) {
             return;
         }
-        if info.state == MemberState::Left {
-            if cx.board.members.remove(&info.id).is_some() {
-                event!(Info, MemberLeft, "daemon={}", info.id);
-                cx.emit(Event::MembersChanged);
+        self.next_probe = Some(cx.now + PROBE_INTERVAL);
+        let chosen: Vec<_> = overdue.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
+        let helpers: Vec<_> =
+            self.table.iter().filter(|p| p.info.state == MemberState::Alive).map(|p| p.info.id).collect();
+        for target in chosen {
+            self.metrics.probes.inc();
+            cx.send(target, Msg::Member(MemberMsg::Ping));
+            let helpers: SmallVec<[DaemonId; HELPERS]> =
+                helpers.choose_multiple(cx.rng, HELPERS).copied().collect();
+            for helper in helpers {
+                cx.send(helper, Msg::Member(MemberMsg::PingReq { target }));
             }
-            self.heard.remove(&info.id);
+        }
+    }
+
+    /// Introduces this daemon to one that it does not hear: a seed, or one that was given up.
+    fn contact(&mut self, cx: &mut Cx<'_>) {
+        if self.next_contact.is_some_and(|at| cx.now < at) {
             return;
         }
-        self.heard.insert(info.id, cx.now);
-        let known = cx.board.members.get(&info.id).is_some_and(|m| m.incarnation == info.incarnation);
-        if !known {
-            event!(Info, MemberUp, "daemon={}", info.id);
-            let member = Member {
-                id: info.id,
-                api: info.api,
-                place: info.place.clone(),
-                incarnation: info.incarnation,
-                state: MemberState::Alive,
-                store_down: false,
-                version: 0,
-            };
-            cx.board.members.insert(info.id, member);
-            cx.emit(Event::MembersChanged);
-            self.beat(cx);
+        self.next_contact = Some(cx.now + PROBE_INTERVAL);
+        let is_heard = |id: &DaemonId| {
+            let known = self.table.get(*id);
+            known.is_some_and(|p| p.info.state != MemberState::Dead)
+        };
+        let mut unheard: Vec<_> = self.seeds.iter().filter(|id| !is_heard(id)).copied().collect();
+        unheard.extend(self.table.iter().filter(|p| p.info.state == MemberState::Dead).map(|p| p.info.id));
+        let info = Self::me(cx);
+        let chosen: SmallVec<[DaemonId; 2]> = unheard.choose_multiple(cx.rng, 2).copied().collect();
+        for to in chosen {
+            cx.send(to, Msg::Member(MemberMsg::Update { members: vec![info.clone()] }));
+        }
+    }
+
+    fn apply(&mut self, cx: &mut Cx<'_>, change: Change) {
+        match change {
+            Change::None | Change::Unknown(_) => {}
+            Change::Heard(id) => self.heard(cx, id),
+            Change::Up(id) => self.up(cx, id),
+            Change::Left(id) => {
+                event!(Info, MemberLeft, "daemon={id}");
+                self.metrics.changes.with_label_values(&["left"]).inc();
+                self.tell(id);
+                cx.board.gone.remove(&id);
+                cx.board.vouched.remove(&id);
+                if cx.board.members.remove(&id).is_some() {
+                    cx.emit(Event::MembersChanged);
+                    cx.publish();
+                }
+            }
         }
     }
 
-    fn drop_silent(&mut self, cx: &mut Cx<'_>) {
-        let now = cx.now;
-        let silent: Vec<_> =
-            self.heard.iter().filter(|(_, at)| now >= **at + DEAD_AFTER).map(|(id, _)| *id).collect();
-        for id in silent {
-            self.heard.remove(&id);
-            cx.board.members.remove(&id);
+    fn heard(&mut self, cx: &mut Cx<'_>, id: DaemonId) {
+        let Some(peer) = self.table.get(id) else { return };
+        if let Some(member) = cx.board.members.get_mut(&id) {
+            member.version = peer.version;
+            member.store_down = peer.store_down;
+            member.state = peer.info.state;
+        }
+        cx.board.vouched.insert(id, peer.vouched);
+        let Some((version, beat)) = self.table.beat_of(id) else { return };
+        for relay in self.relays.extract_if(.., |r| r.target == id) {
+            cx.send(relay.asker, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
+        }
+    }
+
+    fn up(&mut self, cx: &mut Cx<'_>, id: DaemonId) {
+        let Some(peer) = self.table.get(id) else { return };
+        event!(Info, MemberUp, "daemon={id} incarnation={}", peer.info.incarnation);
+        self.metrics.changes.with_label_values(&["up"]).inc();
+        let member = Member {
+            id,
+            api: peer.info.api,
+            place: peer.info.place.clone(),
+            incarnation: peer.info.incarnation,
+            state: MemberState::Alive,
+            store_down: peer.store_down,
+            version: peer.version,
+        };
+        cx.board.members.insert(id, member);
+        cx.board.gone.remove(&id);
+        self.tell(id);
+        self.heard(cx, id);
+        cx.emit(Event::MembersChanged);
+        cx.publish();
+    }
+
+    fn tell(&mut self, id: DaemonId) {
+        if let Some(peer) = self.table.get(id) {
+            self.news.retain(|(info, _)| info.id != id);
+            self.news.push((peer.info.clone(), NEWS_ROUNDS));
+        }
+    }
+
+    fn judge(&mut self, cx: &mut Cx<'_>) {
+        let pace = Pace::new(cx.board.members.len() + 1);
+        let (overdue, gone) = self.table.judge(cx.now, &pace);
+        for id in &overdue {
+            if let Some(member) = cx.board.members.get_mut(id)
+                && member.state == MemberState::Alive
+            {
+                member.state = MemberState::Suspect;
+                event!(Info, MemberSuspect, "daemon={id}");
+                self.metrics.changes.with_label_values(&["suspect"]).inc();
+            }
+        }
+        for id in &gone {
             event!(Warn, MemberDown, "daemon={id}");
+            self.metrics.changes.with_label_values(&["down"]).inc();
+            cx.board.vouched.remove(id);
+            if let Some(member) = cx.board.members.remove(id) {
+                cx.board.gone.insert(*id, member.place);
+            }
+        }
+        if !gone.is_empty() {
             cx.emit(Event::MembersChanged);
+            cx.publish();
+        }
+        self.probe(cx, &overdue);
+    }
+
+    fn take_update(&mut self, cx: &mut Cx<'_>, from: DaemonId, members: &[MemberInfo]) {
+        for info in members {
+            if info.id == cx.board.me.id {
+                continue;
+            }
+            let is_direct = info.id == from;
+            let change = self.table.merge(cx.now, info, is_direct);
+            if change == Change::None && info.state == MemberState::Dead {
+                self.note_gone(cx, info.id);
+            }
+            // Whoever introduces itself gets the whole table: it may know nobody else.
+            if is_direct && matches!(change, Change::Up(_)) {
+                let mut members: Vec<_> = self.table.iter().map(|p| p.info.clone()).collect();
+                members.push(Self::me(cx));
+                cx.send(from, Msg::Member(MemberMsg::Update { members }));
+            }
+            self.apply(cx, change);
+        }
+    }
+
+    /// Counts a daemon that is known only by hearsay for majorities.
+    fn note_gone(&self, cx: &mut Cx<'_>, id: DaemonId) {
+        if let Some(peer) = self.table.get(id)
+            && peer.info.state == MemberState::Dead
+        {
+            cx.board.gone.insert(id, peer.info.place.clone());
+        }
+    }
+
+    fn take_beats(&mut self, cx: &mut Cx<'_>, from: DaemonId, version: u64, beats: &[Beat]) {
+        let me = short(cx.board.me.id, cx.board.me.incarnation);
+        let mut wants = Vec::new();
+        for beat in beats.iter().filter(|b| b.daemon != me) {
+            let change = self.table.beat(cx.now, beat, version);
+            if let Change::Unknown(name) = change
+                && wants.len() < MAX_WANTS
+            {
+                wants.push(name);
+            }
+            self.apply(cx, change);
+        }
+        if !wants.is_empty() {
+            cx.send(from, Msg::Member(MemberMsg::Want { daemons: wants }));
         }
     }
+
+    fn answer_want(&self, cx: &mut Cx<'_>, from: DaemonId, daemons: &[Short]) {
+        let me = short(cx.board.me.id, cx.board.me.incarnation);
+        let known = daemons.iter().filter_map(|name| self.table.by_short(*name));
+        let mut members: Vec<_> = known.map(|p| p.info.clone()).collect();
+        if daemons.contains(&me) {
+            members.push(Self::me(cx));
+        }
+        if !members.is_empty() {
+            cx.send(from, Msg::Member(MemberMsg::Update { members }));
+        }
+    }
+
+    fn keep_row(&mut self, cx: &mut Cx<'_>) {
+        match self.row {
+            OwnRow::Absent if !cx.board.stopping && self.next_write.is_none_or(|at| cx.now >= at) => {
+                self.next_write = Some(cx.now + WRITE_RETRY);
+                self.row = OwnRow::Writing(cx.store(StoreOp::Commit(rows::register(&cx.board.me))));
+            }
+            OwnRow::Written(version) if cx.board.stopping => {
+                let commit = rows::delete(cx.board.me.id, version);
+                self.row = OwnRow::Deleting(cx.store(StoreOp::Commit(commit)));
+            }
+            _ => {}
+        }
+        let interval = if cx.board.members.is_empty() { READ_ALONE } else { READ_INTERVAL };
+        let is_due = self.next_read.is_none_or(|at| cx.now >= at || at > cx.now + interval * 2);
+        if is_due && self.read.is_none() && !cx.board.stopping {
+            self.next_read = Some(cx.now + interval.mul_f64(cx.rng.random_range(0.5..1.5)));
+            self.read = Some(cx.store(StoreOp::Range { prefix: rows::PREFIX.into() }));
+        }
+    }
+
+    fn take_rows(&mut self, cx: &mut Cx<'_>, list: &[(Box<str>, Row)]) {
+        let me = cx.board.me.id;
+        let mut present = BTreeSet::new();
+        for (key, row) in list {
+            let Some(info) = rows::parse(key, row) else { continue };
+            present.insert(info.id);
+            if info.id == me {
+                continue;
+            }
+            self.table.merge(cx.now, &info, false);
+            self.note_gone(cx, info.id);
+            self.clean(cx, info.id, row.version);
+        }
+        if !present.contains(&me) && matches!(self.row, OwnRow::Written(_)) {
+            self.row = OwnRow::Absent;
+        }
+        let absent: Vec<_> = cx.board.gone.keys().filter(|id| !present.contains(id)).copied().collect();
+        for id in absent {
+            cx.board.gone.remove(&id);
+            self.table.remove(id);
+        }
+    }
+
+    /// Deletes the row of a daemon that ended long ago; one living daemon is responsible for each row.
+    fn clean(&self, cx: &mut Cx<'_>, id: DaemonId, version: u64) {
+        let Some(peer) = self.table.get(id) else { return };
+        let is_stale = peer.info.state == MemberState::Dead && cx.now >= peer.heard + STALE_ROW_AFTER;
+        let owner = base::rendezvous::owner(&rows::key(id), cx.board.alive().into_iter());
+        if is_stale && owner == Some(cx.board.me.id) {
+            cx.store(StoreOp::Commit(rows::delete(id, version)));
+        }
+    }
+
+    fn members_json(cx: &Cx<'_>) -> Value {
+        let b = &cx.board;
+        let me = json!({
+            "id": b.me.id, "api": b.me.api, "place": b.me.place, "state": "alive",
+            "version": b.version(), "store_down": b.store_down, "incarnation": b.me.incarnation,
+        });
+        let others = b.members.values().map(|m| {
+            json!({
+                "id": m.id, "api": m.api, "place": m.place, "state": m.state,
+                "version": m.version, "store_down": m.store_down, "incarnation": m.incarnation,
+            })
+        });
+        let gone = b.gone.iter().map(|(id, place)| json!({ "id": id, "place": place, "state": "dead" }));
+        Value::Array(std::iter::once(me).chain(others).chain(gone).collect())
+    }
 }
 
 impl Area for Roster {
@@ -122,51 +466,92 @@
     }
 
     fn on_tick(&mut self, cx: &mut Cx<'_>) {
-        if self.next_beat.is_some_and(|at| cx.now < at) {
-            return;
+        let gap = self.last_tick.map_or(Duration::ZERO, |at| cx.now - at);
+        self.last_tick = Some(cx.now);
+        if gap > PAUSE_GAP {
+            self.table.forgive(gap);
         }
-        self.next_beat = Some(cx.now + HEARTBEAT);
-        self.beat(cx);
-        self.drop_silent(cx);
-        if !self.registered && self.write.is_none() {
-            self.register(cx);
-        }
-        if self.read.is_none() && cx.board.members.is_empty() {
-            self.read = Some(cx.store(StoreOp::Range { prefix: ROWS.into() }));
+        if self.next_round.is_some_and(|at| cx.now < at) {
+            return;
         }
+        self.next_round = Some(cx.now + ROUND);
+        self.relays.retain(|r| cx.now < r.deadline);
+        self.judge(cx);
+        self.round(cx);
+        self.contact(cx);
+        self.keep_row(cx);
+        self.table.forget(cx.now);
     }
 
-    fn on_msg(&mut self, cx: &mut Cx<'_>, _from: DaemonId, msg: &Msg) {
-        if let Msg::Member(MemberMsg::Update { members }) = msg {
-            for info in members {
-                self.take(cx, info);
+    fn on_msg(&mut self, cx: &mut Cx<'_>, from: DaemonId, msg: &Msg) {
+        let Msg::Member(msg) = msg else { return };
+        match msg {
+            MemberMsg::Ping => {
+                let version = cx.board.version();
+                let beats = vec![self.own_beat(cx)];
+                cx.send(from, Msg::Member(MemberMsg::Beats { version, beats }));
+            }
+            MemberMsg::PingReq { target } => {
+                if self.relays.len() < MAX_RELAYS {
+                    let deadline = cx.now + RELAY_TIME;
+                    self.relays.push(Relay { target: *target, asker: from, deadline });
+                    cx.send(*target, Msg::Member(MemberMsg::Ping));
+                }
             }
+            MemberMsg::Beats { version, beats } => self.take_beats(cx, from, *version, beats),
+            MemberMsg::Want { daemons } => self.answer_want(cx, from, daemons),
+            MemberMsg::Update { members } => self.take_update(cx, from, members),
         }
     }
 
-    fn on_store(&mut self, _cx: &mut Cx<'_>, token: StoreToken, res: &Result<StoreRep, StoreError>) {
-        if self.write == Some(token) {
-            self.write = None;
-            self.registered = res.is_ok();
-        }
-        if self.read == Some(token) {
-            self.read = None;
-            if let Ok(StoreRep::Rows(rows)) = res {
-                let ids = rows.iter().filter_map(|(key, _)| key.strip_prefix(ROWS)?.parse::<DaemonId>().ok());
-                self.seeds.extend(ids);
-                self.seeds.sort_unstable();
-                self.seeds.dedup();
-            }
+    fn on_store(&mut self, cx: &mut Cx<'_>, token: StoreToken, res: &Result<StoreRep, StoreError>) {
+        if self.row == OwnRow::Writing(token) {
+            self.row = match res {
+                Ok(StoreRep::Committed { version }) => OwnRow::Written(*version),
+                _ => OwnRow::Absent,
+            };
+        } else if self.row == OwnRow::Deleting(token) {
+            self.row = OwnRow::Deleted;
+        } else if self.read.take_if(|t| *t == token).is_some()
+            && let Ok(StoreRep::Rows(rows)) = res
+        {
+            self.take_rows(cx, rows);
         }
     }
 
     fn on_event(&mut self, cx: &mut Cx<'_>, event: &Event) {
         if matches!(event, Event::Stopping) {
-            self.beat(cx);
+            self.leave_deadline = Some(cx.now + LEAVE_TIME);
+            self.news.push((Self::me(cx), NEWS_ROUNDS));
+            let partners = self.partners(cx);
+            self.spread_news(cx, &partners);
+            self.keep_row(cx);
         }
     }
 
+    fn on_api(&mut self, cx: &mut Cx<'_>, ticket: Ticket, req: &ApiReq) -> bool {
+        if (&*req.method, req.segments().as_slice()) != ("GET", ["v1", "members"].as_slice()) {
+            return false;
+        }
+        cx.answer(ticket, ApiRep::ok(Self::members_json(cx)));
+        true
+    }
+
     fn status(&self) -> Value {
-        json!({ "heard": self.heard.len() })
+        let count = |state| self.table.iter().filter(|p| p.info.state == state).count();
+        json!({
+            "alive": count(MemberState::Alive), "suspect": count(MemberState::Suspect),
+            "gone": count(MemberState::Dead), "left": count(MemberState::Left),
+            "registered": matches!(self.row, OwnRow::Written(_)),
+        })
+    }
+
+    fn is_idle(&self) -> bool {
+        let is_told = self.news.is_empty() || self.table.iter().all(|p| !p.is_talking());
+        let is_late = match (self.leave_deadline, self.last_tick) {
+            (Some(deadline), Some(now)) => now >= deadline,
+            _ => false,
+        };
+        is_late || (is_told && self.row == OwnRow::Deleted)
     }
 }
--- /dev/null
+++ b/crates/member/tests/common/mod.rs
@@ -0,0 +1,104 @@
+//! Fixtures: a small fleet with the areas of this crate and a head that is a mere number.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use conf::Snapshot;
+use fake::{Fleet, Index};
+use kernel::{Area, AreaEntry, Cx, Event, Setup};
+use member as _;
+use store::{Commit, StoreOp, Write};
+
+kernel::inventory::submit! {
+    AreaEntry { name: "head", order: 15, build: |_: &Setup| Box::new(Head { fetched: 0 }) }
+}
+
+/// Stands for the configuration area: follows the number in `fleet/head`, with a tick for the fetch.
+struct Head {
+    fetched: u64,
+}
+
+impl Area for Head {
+    fn name(&self) -> &'static str {
+        "head"
+    }
+
+    fn on_event(&mut self, cx: &mut Cx<'_>, event: &Event) {
+        let seen = match event {
+            Event::FleetRows { rows, .. } => {
+                rows.iter().find(|(k, _)| **k == *"fleet/head").map_or(0, |(_, r)| r.value.parse().unwrap())
+            }
+            Event::Pulled { known, .. } => known.version,
+            _ => 0,
+        };
+        cx.board.head_seen = cx.board.head_seen.max(seen);
+    }
+
+    fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        if cx.board.head_seen > cx.board.version() {
+            let mut snapshot = Snapshot::default();
+            snapshot.version = cx.board.head_seen;
+            snapshot.fleet.store_region = Some("meseta".into());
+            cx.board.conf = Some(Arc::new(snapshot));
+            self.fetched += 1;
+            cx.emit(Event::ConfChanged);
+        }
+    }
+}
+
+/// Places of `near` daemons in the store's region and `far` ones in the other.
+pub fn places(near: usize, far: usize) -> Vec<(&'static str, &'static str)> {
+    let near_dcs = ["barva", "paraiso"];
+    let far_dcs = ["canas", "santa-cruz"];
+    let near = (0..near).map(|i| ("meseta", near_dcs[i % 2]));
+    let far = (0..far).map(|i| ("guanacaste", far_dcs[i % 2]));
+    near.chain(far).collect()
+}
+
+/// A fleet that has found itself.
+pub fn settled(near: usize, far: usize) -> Fleet {
+    let mut fleet = Fleet::new(7, &places(near, far));
+    commit_head(&mut fleet, 1);
+    run(&mut fleet, 6);
+    fleet
+}
+
+/// Lets seconds pass.
+pub fn run(fleet: &mut Fleet, seconds: u64) {
+    fleet.run_for(Duration::from_secs(seconds));
+}
+
+/// Commits a head with this number.
+pub fn commit_head(fleet: &mut Fleet, version: u64) {
+    let write = Write::put("fleet/head", &version.to_string());
+    let op = StoreOp::Commit(Commit { checks: vec![], writes: vec![write] });
+    fleet.platform.mem.apply(&op).unwrap();
+}
+
+/// Number of members in a daemon's view.
+pub fn members(fleet: &Fleet, index: Index) -> usize {
+    fleet.kernel(index).unwrap().board().members.len()
+}
+
+/// Whether a daemon's traffic counts its view as current.
+pub fn is_current(fleet: &Fleet, index: Index) -> bool {
+    fleet.kernel(index).is_some() && fleet.view(index).is_current(fleet.now())
+}
+
+/// Announces a server at a daemon; returns the status.
+pub fn announce(fleet: &mut Fleet, at: Index, id: &str, state: &str) -> u16 {
+    let body = format!(
+        r#"{{"service":"sacristia","addr":"127.0.0.9:80","place":{{"region":"meseta","data_centre":"barva"}},
+        "slots":6,"connections":400,"load":0.5,"state":"{state}"}}"#
+    );
+    let path = format!("/v1/servers/{id}");
+    fleet.ask(at, "PUT", &path, &body).unwrap().status
+}
+
+/// Whether a daemon gives a server new work.
+pub fn takes_work(fleet: &Fleet, index: Index, id: &str) -> bool {
+    use wire::server::ServerState::{Ready, Starting};
+    let board = fleet.kernel(index).unwrap().board();
+    board.servers.get(id).is_some_and(|s| matches!(s.info.state, Ready | Starting))
+}
--- /dev/null
+++ b/crates/member/tests/fresh.rs
@@ -0,0 +1,144 @@
+//! When a daemon may say that its view is current.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{commit_head, is_current, places, run, settled};
+use fake::Fleet;
+use rstest::rstest;
+
+fn currents(fleet: &Fleet) -> Vec<bool> {
+    (0..fleet.daemons()).map(|i| is_current(fleet, i)).collect()
+}
+
+/// Whether each daemon was current at every tenth of a second of the time.
+fn always_current(fleet: &mut Fleet, seconds: u64) -> Vec<bool> {
+    let mut always = vec![true; fleet.daemons()];
+    for _ in 0..seconds * 10 {
+        fleet.run_for(Duration::from_millis(100));
+        for (index, all) in always.iter_mut().enumerate() {
+            *all &= is_current(fleet, index);
+        }
+    }
+    always
+}
+
+#[rstest]
+fn a_fleet_with_its_store_is_current_all_the_time() {
+    let mut fleet = settled(3, 3);
+    assert_eq!(always_current(&mut fleet, 20), [true; 6]);
+}
+
+#[rstest]
+fn a_region_cut_off_the_store_only_stays_current_by_pulls() {
+    let mut fleet = settled(3, 3);
+    for index in 3..6 {
+        let id = fleet.me(index).id;
+        fleet.platform.cut.insert(id);
+    }
+    assert_eq!(always_current(&mut fleet, 20), [true; 6]);
+}
+
+#[rstest]
+fn a_fleet_stays_current_while_the_store_is_down_for_hours() {
+    let mut fleet = settled(3, 3);
+    fleet.platform.down = true;
+    assert_eq!(always_current(&mut fleet, 60), [true; 6]);
+}
+
+#[rstest]
+fn a_region_cut_off_store_and_fleet_turns_stale_and_recovers() {
+    let mut fleet = settled(3, 3);
+    fleet.cut_region("guanacaste");
+    run(&mut fleet, 4);
+    assert_eq!(currents(&fleet), [true, true, true, false, false, false]);
+    fleet.heal();
+    run(&mut fleet, 3);
+    assert_eq!(currents(&fleet), [true; 6]);
+}
+
+#[rstest]
+fn halves_of_the_store_region_are_never_current_both_while_the_store_is_down() {
+    let mut fleet = settled(4, 0);
+    fleet.platform.down = true;
+    for (a, b) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+        fleet.cut(a, b, true);
+    }
+    run(&mut fleet, 4);
+    assert_eq!(currents(&fleet), [false; 4]);
+    // Members given up still count, so time alone makes no half a majority.
+    run(&mut fleet, 120);
+    assert_eq!(currents(&fleet), [false; 4]);
+}
+
+#[rstest]
+fn a_newcomer_in_a_half_does_not_make_it_a_majority() {
+    let mut fleet = settled(4, 0);
+    fleet.platform.down = true;
+    for (a, b) in [(0, 2), (0, 3), (1, 2), (1, 3)] {
+        fleet.cut(a, b, true);
+    }
+    run(&mut fleet, 10);
+    let newcomer = fleet.add("meseta", "barva");
+    for b in [2, 3] {
+        fleet.cut(newcomer, b, true);
+    }
+    run(&mut fleet, 20);
+    assert!(!is_current(&fleet, newcomer));
+}
+
+#[rstest]
+fn a_newcomer_gets_current_by_pulls_while_the_store_is_down() {
+    let mut fleet = settled(3, 3);
+    fleet.platform.down = true;
+    run(&mut fleet, 5);
+    let newcomer = fleet.add("guanacaste", "canas");
+    run(&mut fleet, 4);
+    assert!(is_current(&fleet, newcomer));
+    assert_eq!(fleet.kernel(newcomer).unwrap().board().version(), 1);
+}
+
+#[rstest]
+#[case::shorter_than_the_longest_age(2)]
+#[case::longer_than_the_longest_age(10)]
+fn a_paused_daemon_confirms_anew_with_a_question_sent_after_waking(#[case] seconds: u64) {
+    let mut fleet = settled(3, 3);
+    fleet.pause(1);
+    run(&mut fleet, seconds);
+    commit_head(&mut fleet, 2);
+    run(&mut fleet, 1);
+    fleet.platform.down = true;
+    fleet.cut(0, 1, true);
+    fleet.cut(2, 1, true);
+    for index in 3..6 {
+        fleet.cut(index, 1, true);
+    }
+    fleet.resume(1);
+    fleet.run_for(Duration::from_millis(100));
+    assert!(!is_current(&fleet, 1));
+}
+
+#[rstest]
+fn nobody_is_current_with_an_older_version_for_longer_than_the_longest_age() {
+    let mut fleet = settled(3, 3);
+    for version in 2..20 {
+        commit_head(&mut fleet, version);
+        fleet.run_for(Duration::from_millis(3_100));
+        for index in 0..6 {
+            let have = fleet.kernel(index).unwrap().board().version();
+            assert!(have == version || !is_current(&fleet, index));
+        }
+    }
+}
+
+#[rstest]
+fn reads_of_the_store_stay_under_their_share_for_forty_daemons() {
+    let mut fleet = Fleet::new(3, &places(20, 20));
+    run(&mut fleet, 5);
+    let before = fleet.platform.reads;
+    run(&mut fleet, 10);
+    let per_second = (fleet.platform.reads - before) / 10;
+    // 40 daemons may not need more than the whole fleet's 300 reads a second.
+    assert!(per_second <= 45, "{per_second}");
+}
--- a/crates/wire/src/fresh.rs
+++ b/crates/wire/src/fresh.rs
@@ -14,7 +14,12 @@
     pub withdrawn: u64,
     /// Age in milliseconds of the teller's own confirmation by the store, or none if not confirmed.
     pub store_age_ms: Option<u32>,
-    /// Whether the store answers the teller itself.
+    /// Age in milliseconds of the teller's confirmation by a majority of the store's region, or none.
+    pub quorum_age_ms: Option<u32>,
+    /// Number of daemons of the store's region that the teller knows of, gone ones included; 0 while it
+    /// has never been current, when its answer counts for no majority.
+    pub region_size: u32,
+    /// Whether the store does not answer the teller itself.
     pub store_down: bool,
     /// Whether the teller may answer for the rate shares (not freshly started).
     pub shares_known: bool,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -1,18 +1,29 @@
-//! Messages of membership and failure detection.
+//! Messages of membership: heartbeats spread by gossip, descriptions of daemons, probes.
 
-use base::{DaemonId, Place};
+use base::rendezvous::stable_hash;
+use base::{DaemonId, Place, Version};
 use serde::{Deserialize, Serialize};
 
+/// Hash of a daemon's address and incarnation; names it in heartbeats. A restart changes it.
+pub type Short = [u8; 4];
+
+/// Short name of one incarnation of a daemon.
+pub fn short(id: DaemonId, incarnation: u64) -> Short {
+    let hash = stable_hash(format!("{id} {incarnation}").as_bytes());
+    (hash as u32).to_le_bytes()
+}
+
 /// State of a member as its teller believes it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum MemberState {
-    /// Answers probes.
+    /// Its heartbeats arrive.
     Alive,
-    /// Did not answer; may still refute with a higher refutation number.
+    /// Its heartbeats are overdue; it is being probed.
     Suspect,
     /// Left gracefully.
     Left,
-    /// Considered gone.
+    /// Considered gone. Never taken over from a teller about a member that is heard here.
     Dead,
 }
 
@@ -27,40 +38,49 @@
     pub place: Place,
     /// Start number of its process (milliseconds since the epoch).
     pub incarnation: u64,
-    /// Grows each time the member refutes a suspicion.
-    pub refutation: u64,
     /// Believed state.
     pub state: MemberState,
 }
 
+/// One heartbeat of one daemon; passed on by others unchanged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The daemon.
+    pub daemon: Short,
+    /// Grows with each heartbeat of this incarnation; only a higher one is news.
+    pub clock: u32,
+    /// Versions by which the daemon is behind the message's version, times two, plus one if the
+    /// store does not answer it.
+    pub word: u32,
+    /// Number of changes that it made to the set of servers that it vouches for.
+    pub vouched: u32,
+}
+
 /// What daemons say about membership.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MemberMsg {
-    /// Direct probe.
-    Ping {
-        /// Number echoed by the answer.
-        seq: u64,
-    },
-    /// Answer to a probe.
-    Ack {
-        /// Number of the probe.
-        seq: u64,
-    },
-    /// Asks the receiver to probe a third daemon on behalf of the sender.
+    /// Asks the receiver for a new heartbeat of its own.
+    Ping,
+    /// Asks the receiver to probe a third daemon and to pass on its next heartbeat.
     PingReq {
-        /// Number echoed by the answer.
-        seq: u64,
         /// Daemon to probe.
         target: DaemonId,
     },
-    /// Changed members.
+    /// Heartbeats.
+    Beats {
+        /// Highest configuration version among the heartbeats.
+        version: Version,
+        /// The heartbeats.
+        beats: Vec<Beat>,
+    },
+    /// Asks who these daemons are.
+    Want {
+        /// Their short names.
+        daemons: Vec<Short>,
+    },
+    /// Descriptions of daemons.
     Update {
-        /// The members, newest first.
+        /// The daemons.
         members: Vec<MemberInfo>,
     },
-    /// Digest of the whole table; the receiver answers with what differs.
-    Digest {
-        /// Hash over the sorted table.
-        hash: u64,
-    },
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{Place, ServerId, ServiceId};
+use base::{DaemonId, Place, ServerId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 /// State that a server announces of itself.
@@ -44,19 +44,85 @@
     pub ttl_ms: u32,
 }
 
+/// An operator's order to drain a server, or its end. The highest stamp wins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The server.
+    pub server: ServerId,
+    /// Whether the server gets no new work.
+    pub drained: bool,
+    /// Grows with each order about the server (milliseconds since the epoch at the ordering daemon).
+    pub stamp: u64,
+}
+
+/// One change of the set of servers that a daemon vouches for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The daemon that vouches.
+    pub voucher: DaemonId,
+    /// Start number of its process.
+    pub incarnation: u64,
+    /// Number of the change in this incarnation; the first is 1.
+    pub seq: u32,
+    /// The server; state [`ServerState::Gone`] takes it out of the set.
+    pub server: ServerInfo,
+}
+
+/// The whole set of servers that a daemon vouches for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Vouched {
+    /// The daemon that vouches.
+    pub voucher: DaemonId,
+    /// Start number of its process.
+    pub incarnation: u64,
+    /// Number of the last change in the set.
+    pub seq: u32,
+    /// The servers.
+    pub servers: Vec<ServerInfo>,
+}
+
+/// Loads of the servers that a daemon vouches for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loads {
+    /// The daemon that vouches.
+    pub voucher: DaemonId,
+    /// Start number of its process.
+    pub incarnation: u64,
+    /// Number of the change of the set that the loads belong to.
+    pub seq: u32,
+    /// Grows with each report of the voucher's incarnation.
+    pub report: u32,
+    /// Loads in steps of 1/255, in the order of the servers' names.
+    pub loads: Vec<u8>,
+}
+
 /// What daemons say about backend servers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ServerMsg {
-    /// New or changed announcements.
+    /// Changes, spread by gossip.
     Update {
-        /// The announcements.
-        servers: Vec<ServerInfo>,
+        /// Changes of vouched sets.
+        deltas: Vec<Delta>,
+        /// Operators' orders.
+        drains: Vec<Drain>,
+        /// Reported loads.
+        loads: Vec<Loads>,
+    },
+    /// Asks for whole sets that the sender has missed changes of.
+    Want {
+        /// The daemons that vouch for them.
+        vouchers: Vec<DaemonId>,
     },
-    /// Digest of the teller's table, for anti-entropy.
+    /// A whole set.
+    Set(Vouched),
+    /// Hash over the teller's orders to drain; a receiver that differs answers with its own.
     Digest {
-        /// Hash over the sorted table without loads and times.
-        hash: u64,
+        /// Hash over the sorted orders.
+        drains: u64,
+    },
+    /// All orders to drain of the teller.
+    Drains {
+        /// The orders.
+        list: Vec<Drain>,
     },
-    /// Asks for the whole table.
-    WantAll,
 }
