--- a/crates/fake/src/fleet.rs
+++ b/crates/fake/src/fleet.rs
@@ -27,6 +27,17 @@
 /// Step of [`Fleet::ask`].
 const ASK_STEP: Duration = Duration::from_millis(5);
 
+/// What a daemon's control has cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Bytes sent to other daemons.
+    pub bytes_sent: u64,
+    /// Messages sent to other daemons.
+    pub messages_sent: u64,
+    /// Real time spent in the kernel, sealing and opening left out.
+    pub processor: Duration,
+}
+
 /// Something that happens at a daemon at a time.
 #[derive(Debug)]
 enum Due {
@@ -53,8 +64,7 @@
     life: u64,
     view: Arc<View>,
     answers: HashMap<Ticket, ApiRep>,
-    bytes_sent: u64,
-    messages_sent: u64,
+    cost: Cost,
 }
 
 /// Kernels under virtual time.
@@ -115,8 +125,7 @@
             held: Vec::new(),
             life: 0,
             answers: HashMap::new(),
-            bytes_sent: 0,
-            messages_sent: 0,
+            cost: Cost::default(),
         });
         self.restart(index);
         index
@@ -274,9 +283,9 @@
         &self.daemons[index].view
     }
 
-    /// Bytes and messages that a daemon has sent to others.
-    pub fn sent(&self, index: Index) -> (u64, u64) {
-        (self.daemons[index].bytes_sent, self.daemons[index].messages_sent)
+    /// What a daemon's control has cost so far.
+    pub fn cost(&self, index: Index) -> Cost {
+        self.daemons[index].cost
     }
 
     /// Virtual time.
@@ -328,7 +337,9 @@
         let Some(kernel) = &mut self.daemons[index].kernel else {
             return;
         };
+        let started = Instant::now();
         let outputs = kernel.handle(now, wall_ms, input);
+        self.daemons[index].cost.processor += started.elapsed();
         for output in outputs {
             self.carry_out(index, output);
         }
@@ -340,8 +351,8 @@
                 let me = &self.daemons[index].me;
                 let envelope = Envelope { from: me.id, to, incarnation: me.incarnation, msg };
                 let sealed = wire::seal(&self.secret, &envelope);
-                self.daemons[index].bytes_sent += sealed.len() as u64;
-                self.daemons[index].messages_sent += 1;
+                self.daemons[index].cost.bytes_sent += sealed.len() as u64;
+                self.daemons[index].cost.messages_sent += 1;
                 self.deliver(index, envelope.to, &sealed);
             }
             Output::Store { token, op } => {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -13,6 +13,6 @@
 pub mod net;
 pub mod platform;
 
-pub use fleet::{Fleet, Index};
+pub use fleet::{Cost, Fleet, Index};
 pub use net::Net;
 pub use platform::Platform;
--- /dev/null
+++ b/crates/proof/benches/hot.rs
@@ -0,0 +1,127 @@
+//! Decisions that every request takes, at the target size: 13,000 routes, 21,000 customers, 26 servers.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::Place;
+use conf::source::{CustomerSource, KeySource, RouteSource, ServiceSource, Source};
+use conf::{Dedupe, KeyHasher, Repeat, Snapshot};
+use criterion::Criterion;
+use hyper::Request;
+use hyper::http::request::Parts;
+use kernel::{Pools, ServerCell, ServerView, View};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use wire::server::{ServerInfo, ServerState};
+
+const ROUTES: usize = 13_000;
+const CUSTOMERS: usize = 21_000;
+const SERVERS: usize = 26;
+const SECRET: &str = "a caller's key of some length";
+
+fn customer_name(n: usize) -> Box<str> {
+    format!("customer-{n}").into()
+}
+
+fn route(n: usize) -> RouteSource {
+    RouteSource {
+        name: format!("route-{n}").into(),
+        host: None,
+        prefix: format!("/customer-{n}/orders").into(),
+        methods: vec![],
+        service: "sacristia".into(),
+        customer: Some(customer_name(n)),
+        open: false,
+        repeatable: Repeat::ByMethod,
+        timeout_ms: 1_000,
+        dedupe: Dedupe::Off,
+        cost: 1,
+    }
+}
+
+fn snapshot(hasher: &KeyHasher) -> Snapshot {
+    let customer = |n| CustomerSource {
+        name: customer_name(n),
+        rate: 10.0,
+        burst: 20.0,
+        template: None,
+        params: std::collections::BTreeMap::default(),
+    };
+    let hash = conf::tree::name(&hasher.hash(SECRET.as_bytes()));
+    let key = KeySource { name: "k".into(), hash, customer: customer_name(7), expires: None };
+    let service = ServiceSource { name: "sacristia".into(), floor: 0.6, cross_region: true, queue: 100 };
+    let source = Source {
+        service: vec![service],
+        customer: (0..CUSTOMERS).map(customer).collect(),
+        route: (0..ROUTES).map(route).collect(),
+        key: vec![key],
+        ..Source::default()
+    };
+    conf::compile(&source, 1).expect("a valid configuration")
+}
+
+fn parts() -> Parts {
+    let req = Request::get("/customer-7/orders/12").header("x-api-key", SECRET).body(());
+    req.expect("a valid request").into_parts().0
+}
+
+fn view(conf: Snapshot) -> View {
+    let until = Some(Instant::now() + Duration::from_hours(1));
+    View { conf: Some(Arc::new(conf)), current_until: until, ..View::empty(Place::new("meseta", "barva")) }
+}
+
+fn servers() -> Vec<Arc<ServerView>> {
+    let centres = ["paraiso", "barva"];
+    let info = |n: usize| ServerInfo {
+        id: format!("sacristia-{n}").into(),
+        service: "sacristia".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        place: Place::new("meseta", centres[n % 2]),
+        slots: 6,
+        connections: 400,
+        load: 0.3,
+        state: ServerState::Ready,
+        stamp: 0,
+        ttl_ms: 3_000,
+    };
+    let server = |n| ServerView {
+        info: info(n),
+        weight: 1.0,
+        trial: false,
+        ready_since: None,
+        cell: Arc::new(ServerCell::default()),
+    };
+    (0..SERVERS).map(|n| Arc::new(server(n))).collect()
+}
+
+fn hot(c: &mut Criterion) {
+    let hasher = KeyHasher::new(b"a secret of the fleet");
+    let view = view(snapshot(&hasher));
+    let parts = parts();
+    let now = Instant::now();
+    let conf = view.conf.as_ref().expect("just set");
+    c.bench_function("snapshot lookup", |b| {
+        b.iter(|| black_box(conf.match_route(None, black_box("/customer-7/orders/12"), "GET")));
+    });
+    c.bench_function("admit", |b| b.iter(|| black_box(edge::admit::admit(&view, &hasher, &parts, now))));
+
+    let pools = Pools::new(now);
+    pools.set_customers(conf.customers.keys());
+    let pool = pools.get("customer-7").expect("just set");
+    c.bench_function("token take", |b| b.iter(|| black_box(pool.take(1, now))));
+
+    let servers = servers();
+    let place = Place::new("meseta", "barva");
+    let mut rng = SmallRng::seed_from_u64(1);
+    let want = route::Want { place: &place, tried: &[], repeatable: true, cross_region: true, now };
+    c.bench_function("choose", |b| {
+        b.iter(|| black_box(route::choose(&servers, &want, &mut rng).map(|s| s.info.slots)));
+    });
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    hot(&mut criterion);
+    criterion.final_summary();
+}
