Leave the queue without a scan after a grant; make a test able to fail

Change: a granted place is known to have left; the test's route allows 60 s. Result: with the fault the test now fails, without it all tests of edge pass.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -125,9 +125,11 @@
                 return Err(Refusal::QueueFull);
             }
         }
-        let mut waiting = Waiting { gate: self, rx };
+        let mut waiting = Waiting { gate: self, rx, has_left: false };
+        let granted = (&mut waiting.rx).await;
+        waiting.has_left = true;
         // A sender that was displaced is dropped without a grant.
-        (&mut waiting.rx).await.map_err(|_displaced| Refusal::QueueFull)
+        granted.map_err(|_displaced| Refusal::QueueFull)
     }
 
     /// Waits until some request ends, at most for `max`.
@@ -181,10 +183,15 @@
 struct Waiting<'a> {
     gate: &'a Gate,
     rx: oneshot::Receiver<Permit>,
+    /// Set once the queue no longer holds the place.
+    has_left: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        if self.has_left {
+            return;
+        }
         self.rx.close();
         // A grant may have arrived just before; it goes back.
         drop(self.rx.try_recv());
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -272,6 +272,7 @@
 prefix = "/stock"
 service = "sacristia"
 customer = "orosi"
+timeout_ms = 60000
 
 [[route]]
 name = "orders"
