Watch the deadline of strict orders in the task that sends them

Cause: found by reading: the caller's side watched the same deadline beside the detached task, so it could answer deadline-too-short (run: no) in the moment in which the task sent the order. Change: only the task watches the deadline of a strict order; everything before it is watched as before. Result: all tests of edge pass, with a new one for a strict order that times out. The race itself has no test: it needs a pause of a thread between two instructions.

--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -134,14 +134,17 @@
     caller.set_key(admitted.key);
     let deadline = now + time_allowed(&parts, &admitted)?;
     dedupe::check(&admitted, &parts)?;
-    let work = async {
+    let prepared = async {
         take_tokens(shared, &admitted).await?;
         let body = hold_request(body).await.map_err(|_broken| Refusal::BadRequest)?;
-        let job = Job::new(Arc::clone(shared), Arc::clone(trace), admitted.clone(), parts, body, deadline)?;
-        let job = Arc::new(job);
-        if dedupe::is_strict(&job) { dedupe::run_once(job).await } else { run(&job).await }
+        Ok(Job::new(Arc::clone(shared), Arc::clone(trace), admitted.clone(), parts, body, deadline)?)
     };
-    within(deadline, trace, work).await
+    let job = Arc::new(within(deadline, trace, prepared).await?);
+    if dedupe::is_strict(&job) {
+        // Watches the deadline in its own task: a watch beside it could say "not run" while the task sends.
+        return dedupe::run_once(job).await;
+    }
+    within(deadline, trace, run(&job)).await
 }
 
 /// Ends the work at the deadline with what is then known about its effect.
--- a/crates/edge/tests/dedupe.rs
+++ b/crates/edge/tests/dedupe.rs
@@ -112,3 +112,14 @@
     assert_eq!(status(&rep), 200);
     assert_eq!(backend.requests().len(), 1);
 }
+
+#[tokio::test]
+async fn a_strict_order_that_times_out_is_unknown_to_all() {
+    let ([first, second], backend, _table) = fleet(&[Act::Silent]).await;
+    let headers = format!("{KEY}x-deadline-ms: 300\r\n");
+    let rep = first.post("/orders", &headers).await;
+    assert_eq!(verdict(&rep), (504, "timed-out".into(), "unknown".into()));
+    let rep = second.post("/orders", &headers).await;
+    assert_eq!(verdict(&rep), (409, "dedupe-unknown".into(), "unknown".into()));
+    assert_eq!(backend.requests().len(), 1);
+}
