--- a/crates/health/src/area.rs
+++ b/crates/health/src/area.rs
@@ -5,6 +5,7 @@
 
 use base::{DaemonId, ServerId, ServiceId, event, rendezvous};
 use kernel::{ApiRep, ApiReq, Area, AreaEntry, Cx, Event, Report, Setup, Ticket, Verdict};
+use rand::Rng;
 use serde_json::{Value, json};
 use wire::Msg;
 use wire::health::{Ejected, Evidence, HealthMsg};
@@ -33,6 +34,10 @@
 const AVOID_SCORE: f64 = 6.0;
 /// Weight of an avoided server; never zero, since this is one daemon's word only.
 const AVOIDED_WEIGHT: f32 = 0.1;
+/// Weight of a suspect of another data centre while an opinion on it is wanted.
+const OPINION_WEIGHT: f32 = 0.1;
+/// Observers that one request for opinions goes to.
+const MAX_WATCHED: usize = 32;
 /// Time for which avoidance holds without new evidence.
 const AVOID_HOLD: Duration = Duration::from_secs(2);
 /// Interval in which a list that did not change is sent again.
@@ -68,6 +73,8 @@
     next_step: Option<Instant>,
     starved: bool,
     avoided: HashMap<ServerId, Instant>,
+    /// Suspects of other data centres on which the coordinator wants this daemon's opinion.
+    wanted: HashMap<ServerId, Instant>,
     decisions: Decisions,
     metrics: Metrics,
 }
@@ -91,6 +98,7 @@
             next_step: None,
             starved: false,
             avoided: HashMap::new(),
+            wanted: HashMap::new(),
             decisions: Decisions::default(),
             metrics: Metrics::new(&setup.registry),
         }
@@ -244,22 +252,33 @@
 
     fn send_watch(&mut self, cx: &mut Cx<'_>, service: &ServiceId) {
         let Some(own) = self.coordinated.get_mut(service) else { return };
-        if cx.now < own.next_watch || !own.judge.is_suspicious() {
+        let suspects = own.judge.suspects();
+        if cx.now < own.next_watch || (suspects.is_empty() && !own.judge.is_returning()) {
             return;
         }
         own.next_watch = cx.now + ALERT / 2;
         let me = cx.board.me.id;
-        let observers: Vec<_> = own.judge.observers().copied().filter(|o| *o != me).collect();
-        for to in observers {
-            cx.send(to, Msg::Health(HealthMsg::Watch { service: service.clone() }));
+        let mut observers: Vec<_> = own.judge.observers().copied().filter(|o| *o != me).collect();
+        observers.sort_unstable();
+        let skip = cx.rng.random_range(0..observers.len().max(1));
+        for to in observers.iter().cycle().skip(skip).take(observers.len().min(MAX_WATCHED)) {
+            let msg = HealthMsg::Watch { service: service.clone(), suspects: suspects.clone() };
+            cx.send(*to, Msg::Health(msg));
         }
-        self.watch(cx, service);
+        self.watch(cx, service, &suspects);
     }
 
-    fn watch(&mut self, cx: &Cx<'_>, service: &ServiceId) {
+    fn watch(&mut self, cx: &Cx<'_>, service: &ServiceId, suspects: &[ServerId]) {
         let until = cx.now + ALERT;
         let digests = self.digests.entry(service.clone());
         digests.or_insert(Digests { next: cx.now, alert_until: until }).alert_until = until;
+        let place = &cx.board.me.place;
+        for id in suspects {
+            let server = cx.board.servers.get(id).map(|e| &e.info.place);
+            if server.is_some_and(|p| p.region == place.region && p.data_centre != place.data_centre) {
+                self.wanted.insert(id.clone(), until);
+            }
+        }
     }
 
     fn tell(&mut self, cx: &Cx<'_>, service: &ServiceId, change: &Change) {
@@ -306,6 +325,10 @@
 
     fn write_verdicts(&mut self, cx: &mut Cx<'_>) {
         let mut verdicts: HashMap<ServerId, Verdict> = HashMap::new();
+        self.wanted.retain(|_, until| *until > cx.now);
+        for (id, until) in &self.wanted {
+            verdicts.insert(id.clone(), Verdict { weight: OPINION_WEIGHT, trial: true, lapses: *until });
+        }
         for (id, until) in &self.avoided {
             let verdict = Verdict { weight: AVOIDED_WEIGHT, trial: false, lapses: *until };
             verdicts.insert(id.clone(), verdict);
@@ -396,7 +419,7 @@
         let Msg::Health(msg) = msg else { return };
         match msg {
             HealthMsg::Evidence { service, starved, list } => self.hear(cx, from, service, *starved, list),
-            HealthMsg::Watch { service } => self.watch(cx, service),
+            HealthMsg::Watch { service, suspects } => self.watch(cx, service, suspects),
             HealthMsg::Ejections { service, incarnation, seq, list } => {
                 if self.lists.take(cx.now, from, service, (*incarnation, *seq), list) {
                     self.write_verdicts(cx);
--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -14,6 +14,9 @@
 /// Smallest excess over the background, as part of the rest to 1, that the test looks for.
 const EXCESS: f64 = 0.15;
 
+/// Evidence that fading may drop.
+const NOTHING: f64 = 0.5;
+
 /// Log likelihood ratio of one sample with and one without the mark.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ratio {
@@ -75,6 +78,18 @@
         }
     }
 
+    /// Forgets a part of the evidence; what is left of almost nothing goes too.
+    pub fn fade(&mut self, factor: f64) {
+        self.sum *= factor;
+        for part in &mut self.parts {
+            part.ratio *= factor;
+            part.samples *= factor;
+        }
+        if self.sum < NOTHING {
+            self.reset();
+        }
+    }
+
     /// Forgets everything.
     pub fn reset(&mut self) {
         self.sum = 0.0;
--- a/crates/health/src/judge.rs
+++ b/crates/health/src/judge.rs
@@ -16,6 +16,8 @@
 const OBSERVER_MEMORY: Duration = Duration::from_secs(15);
 /// Part of the evidence that must remain without the strongest observer.
 const SECOND_PART: f64 = 0.3;
+/// Part of the threshold from which a server is suspected.
+const SUSPICION_PART: f64 = 0.125;
 /// Factor on the threshold when a single daemon sees the service at all.
 const ALONE_FACTOR: f64 = 2.0;
 /// Samples with which an observer, or a data centre, can contradict the others.
@@ -23,6 +25,8 @@
 const CENTRE_SAMPLES: f64 = 20.0;
 /// Part of the recent counts that each period keeps.
 const KEEP: f64 = 0.9;
+/// Part of the evidence that a period without any digest on the server keeps.
+const KEEP_UNSEEN: f64 = 0.97;
 /// Longest hold of a server that flaps.
 const MAX_HOLD: Duration = Duration::from_mins(1);
 /// Time after a return in which a new ejection counts as flapping.
@@ -166,10 +170,16 @@
         self.observers.keys()
     }
 
-    /// Whether any server is under suspicion, so that frequent digests are worth their bytes.
-    pub fn is_suspicious(&self) -> bool {
-        let suspicion = self.knobs.threshold / 8.0;
-        self.cases.values().any(|c| c.stage.is_some() || c.bad.sum().max(c.slow.sum()) > suspicion)
+    /// Servers with some evidence against them, on which other daemons' opinions are wanted.
+    pub fn suspects(&self) -> Vec<ServerId> {
+        let suspicion = self.knobs.threshold * SUSPICION_PART;
+        let is_suspect = |c: &Case| c.stage.is_none() && c.bad.sum().max(c.slow.sum()) > suspicion;
+        self.cases.iter().filter(|(_, c)| is_suspect(c)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether a server is on its way back, so that frequent digests are worth their bytes.
+    pub fn is_returning(&self) -> bool {
+        self.cases.values().any(|c| c.stage.is_some())
     }
 
     /// Ends a period.
@@ -222,6 +232,10 @@
             }
             case.bad.settle();
             case.slow.settle();
+            if case.period.total == 0.0 {
+                case.bad.fade(KEEP_UNSEEN);
+                case.slow.fade(KEEP_UNSEEN);
+            }
             case.recent.fade(KEEP);
         }
     }
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -36,6 +36,10 @@
 const CUSTOMER_ALPHA: f64 = 1.0 / 16.0;
 /// Share of the last second's counts that each period keeps.
 const KEEP_BRIEF: f64 = 0.7;
+/// Share of the evidence that a period without any answer keeps, so that avoidance always ends.
+const KEEP_UNSEEN: f64 = 0.9;
+/// Most local evidence, a log likelihood ratio.
+const MAX_SUM: f64 = 40.0;
 /// Share of the longest answer that each period keeps.
 const KEEP_LONGEST: f64 = 0.99;
 /// Multiple of the longest recent answer after which an unanswered request counts as bad.
@@ -248,8 +252,10 @@
         for server in self.servers.values_mut() {
             let step = std::mem::take(&mut server.step);
             let (bad, slow) = Counts::ratios(all.sub(server.recent), all_now.sub(step));
-            server.bad_sum = (server.bad_sum + bad.of(step.bad, step.total)).max(0.0);
-            server.slow_sum = (server.slow_sum + slow.of(step.slow, step.total)).max(0.0);
+            let keep = if step.total > 0.0 { 1.0 } else { KEEP_UNSEEN };
+            let add = |sum: f64, ratio: f64| ((sum * keep) + ratio).clamp(0.0, MAX_SUM);
+            server.bad_sum = add(server.bad_sum, bad.of(step.bad, step.total));
+            server.slow_sum = add(server.slow_sum, slow.of(step.slow, step.total));
             server.recent.fade(f64::from(KEEP));
             server.brief.fade(KEEP_BRIEF);
             server.brief.add(step);
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -58,7 +58,7 @@
     let sound = servers.iter().filter(usable).filter(|s| weight(s, want.now) >= SOUND_WEIGHT);
     let nearest = sound.map(|s| distance(s, want.place)).min();
     let limit = nearest.unwrap_or(reach);
-    let near = servers.iter().filter(usable).filter(|s| distance(s, want.place) <= limit);
+    let near = servers.iter().filter(usable).filter(|s| is_near(s, want, limit));
     let only_sound = !want.repeatable && nearest.is_some();
     let drawn = near.filter(|s| !only_sound || weight(s, want.now) >= SOUND_WEIGHT);
     two_choices(drawn, want.now, rng)
@@ -71,6 +71,12 @@
         && server.cell.in_flight.load(Relaxed) < server.info.slots
 }
 
+/// Servers on trial in the region take part from any data centre, so that several daemons judge them.
+fn is_near(server: &ServerView, want: &Want<'_>, limit: u8) -> bool {
+    let distance = distance(server, want.place);
+    distance <= limit || (server.trial && distance < FARTHEST)
+}
+
 fn distance(server: &ServerView, place: &Place) -> u8 {
     match &server.info.place {
         p if p == place => 0,
--- /dev/null
+++ b/crates/route/tests/pick.rs
@@ -0,0 +1,156 @@
+//! The choice of a server.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::{Duration, Instant};
+
+use base::Place;
+use kernel::{ServerCell, ServerView};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use route::{Want, choose};
+use rstest::rstest;
+use wire::server::{ServerInfo, ServerState};
+
+const DRAWS: u32 = 4_000;
+
+fn server(id: &str, region: &str, data_centre: &str) -> ServerView {
+    let info = ServerInfo {
+        id: id.into(),
+        service: "sacristia".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        place: Place::new(region, data_centre),
+        slots: 6,
+        connections: 400,
+        load: 0.0,
+        state: ServerState::Ready,
+        stamp: 1,
+        ttl_ms: 3_000,
+    };
+    ServerView { info, weight: 1.0, trial: false, ready_since: None, cell: Arc::new(ServerCell::default()) }
+}
+
+fn own(id: &str) -> ServerView {
+    server(id, "meseta", "barva")
+}
+
+/// Share of the draws that go to the first server.
+fn share(servers: Vec<ServerView>, repeatable: bool, cross_region: bool) -> f64 {
+    let servers: Vec<_> = servers.into_iter().map(Arc::new).collect();
+    let place = Place::new("meseta", "barva");
+    let want = Want { place: &place, tried: &[], repeatable, cross_region, now: Instant::now() };
+    let mut rng = SmallRng::seed_from_u64(5);
+    let hits = (0..DRAWS)
+        .filter(|_| choose(&servers, &want, &mut rng).is_some_and(|s| s.info.id == servers[0].info.id))
+        .count();
+    hits as f64 / f64::from(DRAWS)
+}
+
+#[test]
+fn the_own_data_centre_comes_first() {
+    let got = share(vec![own("a"), server("b", "meseta", "paraiso")], true, true);
+    assert_eq!((got * 100.0).round() as u32, 100);
+}
+
+#[test]
+fn the_link_is_crossed_only_when_the_region_is_full() {
+    let near = own("a");
+    near.cell.in_flight.store(6, Relaxed);
+    let got = share(vec![server("b", "guanacaste", "canas"), near], true, true);
+    assert_eq!((got * 100.0).round() as u32, 100);
+}
+
+#[test]
+fn without_link_budget_nothing_crosses() {
+    let got = share(vec![server("b", "guanacaste", "canas")], true, false);
+    assert_eq!((got * 100.0).round() as u32, 0);
+}
+
+#[rstest]
+#[case::of_four(4, 0.3)]
+#[case::of_ten(10, 0.1)]
+fn failures_in_a_row_move_work_to_the_next_data_centre(#[case] failures: u32, #[case] most: f64) {
+    let failing = own("a");
+    failing.cell.failures.store(failures, Relaxed);
+    let got = share(vec![failing, server("b", "meseta", "paraiso")], true, true);
+    assert!(got > 0.0, "a recovery has to be noticed");
+    assert!(got <= most, "{got}");
+}
+
+#[test]
+fn an_unrepeatable_request_avoids_a_failing_server() {
+    let failing = own("a");
+    failing.cell.failures.store(10, Relaxed);
+    let got = share(vec![failing, server("b", "meseta", "paraiso")], false, true);
+    assert_eq!((got * 1e4).round() as u32, 0);
+}
+
+#[test]
+fn an_unrepeatable_request_is_never_a_trial() {
+    let got = share(vec![ServerView { trial: true, weight: 0.05, ..own("a") }], false, true);
+    assert_eq!((got * 1e4).round() as u32, 0);
+}
+
+#[test]
+fn a_repeatable_request_may_be_a_trial() {
+    let got = share(vec![ServerView { trial: true, weight: 0.05, ..own("a") }, own("b")], true, true);
+    assert!(got > 0.0 && got < 0.1, "{got}");
+}
+
+#[test]
+fn a_trial_may_come_from_another_data_centre() {
+    let trial = ServerView { trial: true, weight: 0.1, ..server("a", "meseta", "paraiso") };
+    let got = share(vec![trial, own("b")], true, true);
+    assert!(got > 0.0 && got < 0.2, "{got}");
+}
+
+#[test]
+fn an_ejected_server_gets_nothing() {
+    let got = share(vec![ServerView { weight: 0.0, ..own("a") }], true, true);
+    assert_eq!((got * 1e4).round() as u32, 0);
+}
+
+#[test]
+fn a_load_report_frozen_at_idle_attracts_no_work() {
+    let frozen = own("a");
+    frozen.cell.in_flight.store(4, Relaxed);
+    frozen.cell.latency_us.store(20_000, Relaxed);
+    let busy: Vec<_> = ["b", "c"]
+        .iter()
+        .map(|id| {
+            let mut view = own(id);
+            view.info.load = 1.0;
+            view.cell.in_flight.store(2, Relaxed);
+            view.cell.latency_us.store(20_000, Relaxed);
+            view
+        })
+        .collect();
+    let got = share(std::iter::once(frozen).chain(busy).collect(), true, true);
+    assert!(got < 0.2, "{got}");
+}
+
+#[test]
+fn a_slower_server_gets_less() {
+    let slow = own("a");
+    slow.cell.latency_us.store(60_000, Relaxed);
+    let fast = own("b");
+    fast.cell.latency_us.store(20_000, Relaxed);
+    let got = share(vec![slow, fast], true, true);
+    assert!(got < 0.3, "{got}");
+}
+
+#[test]
+fn a_cold_server_ramps_up() {
+    let now = Instant::now();
+    let cold = ServerView { ready_since: Some(now), ..own("a") };
+    let got = share(vec![cold, own("b"), own("c")], true, true);
+    assert!(got > 0.05 && got < 0.25, "{got}");
+}
+
+#[test]
+fn a_warm_server_gets_its_share() {
+    let long_ago = Instant::now().checked_sub(Duration::from_mins(1));
+    let warm = ServerView { ready_since: long_ago, ..own("a") };
+    let got = share(vec![warm, own("b"), own("c")], true, true);
+    assert!(got > 0.25, "{got}");
+}
--- a/crates/wire/src/health.rs
+++ b/crates/wire/src/health.rs
@@ -41,10 +41,12 @@
         /// Evidence on each server that had traffic.
         list: Vec<Evidence>,
     },
-    /// The coordinator suspects a server of the service and asks for frequent digests.
+    /// The coordinator suspects servers and asks for frequent digests and a second opinion.
     Watch {
         /// The service.
         service: ServiceId,
+        /// The suspected servers.
+        suspects: Vec<ServerId>,
     },
     /// The coordinator's ejection list; replaces its earlier one of the service.
     Ejections {
