Keep rates and bursts exact over the fleet: shares, delegations, grants

Cause: the static split refuses wrongly wherever demand is uneven and is not exact when members change. Change: the shares row with its change rule, delegations to two aggregators a region and shard, grants with lapses; pools hold several lots in one word each, so that control and traffic never lose or double tokens.

--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -32,7 +32,7 @@
 pub use cx::Cx;
 pub use input::{Event, Input, Output, StoreToken};
 pub use machine::{Kernel, Setup};
-pub use pool::{Pool, Pools, Take};
+pub use pool::{LOTS, MILLI, Milli, Pool, Pools, Take};
 pub use report::{Outcome, OutcomeKind, Report};
 pub use view::{ServerView, ServiceView, View};
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,9 +1,30 @@
 //! Fleet-wide rates and bursts. One area of the kernel.
 //!
+//! | stage | module | holds |
+//! | --- | --- | --- |
+//! | agreement | `row`, `rights`, `change`, `agree` | who may spend which shares |
+//! | delegation | `holder`, `cells` | shares lent to the region's aggregators |
+//! | grants | `aggregator`, `bucket` | tokens for daemons, exact per customer |
+//! | use | `taker` | tokens held ahead of demand |
+//!
 //! ```
 //! use limit as _;
 //! let names: Vec<_> = kernel::inventory::iter::<kernel::AreaEntry>.into_iter().map(|e| e.name).collect();
 //! assert!(names.contains(&"limit"));
 //! ```
 
-pub mod split;
+mod aggregator;
+mod agree;
+pub mod area;
+mod bucket;
+mod cells;
+mod change;
+mod counts;
+mod holder;
+mod outbox;
+mod rights;
+pub mod row;
+mod taker;
+mod times;
+
+pub use area::Limit;
--- /dev/null
+++ b/crates/limit/tests/exact.rs
@@ -0,0 +1,233 @@
+//! Over-admission: stateful fuzzing of the decision code against one exact bucket per customer.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Sim;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+/// Daemons at most.
+const MOST: usize = 9;
+
+/// One step of a trace.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Time passes under traffic that takes all it can get, in tenths of a second.
+    Run {
+        tenths: u16,
+    },
+    Pause {
+        at: usize,
+    },
+    Resume {
+        at: usize,
+    },
+    Crash {
+        at: usize,
+    },
+    Restart {
+        at: usize,
+    },
+    Stop {
+        at: usize,
+    },
+    Cut {
+        from: usize,
+        to: usize,
+    },
+    CutOffStore {
+        at: usize,
+    },
+    CutRegion,
+    Heal,
+    Store {
+        down: bool,
+    },
+    SlowStore {
+        ms: u16,
+    },
+    LostAnswers {
+        percent: u8,
+    },
+    Network {
+        loss: u8,
+        doubling: u8,
+        jitter_ms: u16,
+    },
+    Fence {
+        by: usize,
+        target: usize,
+    },
+}
+
+/// The reference: how the fleet was started. The oracle itself counts admissions, in `common`.
+#[derive(Clone, Debug)]
+struct Start {
+    daemons: usize,
+    seed: u64,
+}
+
+impl ReferenceStateMachine for Start {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        (3..=MOST, any::<u64>()).prop_map(|(daemons, seed)| Self { daemons, seed }).boxed()
+    }
+
+    fn transitions(state: &Self) -> BoxedStrategy<Step> {
+        let one = 0..state.daemons;
+        prop_oneof![
+            12 => (1..90_u16).prop_map(|tenths| Step::Run { tenths }),
+            2 => one.clone().prop_map(|at| Step::Pause { at }),
+            2 => one.clone().prop_map(|at| Step::Resume { at }),
+            1 => one.clone().prop_map(|at| Step::Crash { at }),
+            3 => one.clone().prop_map(|at| Step::Restart { at }),
+            1 => one.clone().prop_map(|at| Step::Stop { at }),
+            3 => (one.clone(), one.clone()).prop_map(|(from, to)| Step::Cut { from, to }),
+            2 => one.clone().prop_map(|at| Step::CutOffStore { at }),
+            1 => Just(Step::CutRegion),
+            2 => Just(Step::Heal),
+            1 => any::<bool>().prop_map(|down| Step::Store { down }),
+            1 => (0..3_000_u16).prop_map(|ms| Step::SlowStore { ms }),
+            1 => (0..60_u8).prop_map(|percent| Step::LostAnswers { percent }),
+            2 => (0..30_u8, 0..30_u8, 0..400_u16)
+                .prop_map(|(loss, doubling, jitter_ms)| Step::Network { loss, doubling, jitter_ms }),
+            3 => (one.clone(), one).prop_map(|(by, target)| Step::Fence { by, target }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _step: &Step) -> Self {
+        state
+    }
+}
+
+const PLACES: [(&str, &str); 3] = [("meseta", "paraiso"), ("guanacaste", "canas"), ("meseta", "barva")];
+
+/// Customers: ordinary, burst of one token, burst far above the rate, low rate.
+const CUSTOMERS: [(f64, f64); 4] = [(50.0, 20.0), (4.0, 1.0), (5.0, 100.0), (0.5, 3.0)];
+
+fn start(daemons: usize, seed: u64) -> Sim {
+    let places: Vec<_> = (0..daemons).map(|i| PLACES[i % PLACES.len()]).collect();
+    Sim::new(seed, &places, &CUSTOMERS, 64)
+}
+
+/// Offers every customer several requests at every daemon, so that each token there is gets spent.
+fn flood(sim: &mut Sim, time: Duration) {
+    let end = sim.fleet.now() + time;
+    let mut step = 0;
+    while sim.fleet.now() < end {
+        step += 1;
+        let up: Vec<_> = (0..sim.fleet.daemons()).filter(|at| step % 4 == 0 && sim.is_up(*at)).collect();
+        for at in up {
+            for customer in 0..sim.customers.len() {
+                sim.arrive(at, customer, 1 + u32::from(step % 28 == 0), 0);
+            }
+        }
+        sim.step();
+    }
+}
+
+fn apply(sim: &mut Sim, step: &Step) {
+    let up = |sim: &Sim, at: usize| sim.fleet.kernel(at).is_some();
+    match *step {
+        Step::Run { tenths } => flood(sim, Duration::from_millis(u64::from(tenths) * 100)),
+        Step::Pause { at } if up(sim, at) => sim.fleet.pause(at),
+        Step::Resume { at } => sim.fleet.resume(at),
+        Step::Crash { at } => sim.fleet.crash(at),
+        Step::Restart { at } => sim.fleet.restart(at),
+        Step::Stop { at } if up(sim, at) && !sim.fleet.is_paused(at) => sim.fleet.stop(at),
+        Step::Cut { from, to } => sim.fleet.cut(from, to, false),
+        Step::CutOffStore { at } => {
+            let id = sim.fleet.me(at).id;
+            sim.fleet.platform.cut.insert(id);
+        }
+        Step::CutRegion => sim.fleet.cut_region("guanacaste"),
+        Step::Heal => sim.fleet.heal(),
+        Step::Store { down } => sim.fleet.platform.down = down,
+        Step::SlowStore { ms } => sim.fleet.platform.latency = Duration::from_millis(u64::from(ms)),
+        Step::LostAnswers { percent } => sim.fleet.platform.lost_answers = f64::from(percent) / 100.0,
+        Step::Network { loss, doubling, jitter_ms } => {
+            sim.fleet.net.loss = f64::from(loss) / 100.0;
+            sim.fleet.net.doubling = f64::from(doubling) / 100.0;
+            sim.fleet.net.jitter = Duration::from_millis(u64::from(jitter_ms));
+        }
+        Step::Fence { by, target } if up(sim, by) && !sim.fleet.is_paused(by) => {
+            let path = format!("/v1/fence/{}", sim.fleet.me(target).id);
+            sim.fleet.call(by, "POST", &path, "");
+        }
+        Step::Pause { .. } | Step::Stop { .. } | Step::Fence { .. } => {}
+    }
+}
+
+struct Exact;
+
+/// Traces of one run; `LIMIT_FUZZ_CASES` asks for more than CI has time for.
+fn cases() -> u32 {
+    std::env::var("LIMIT_FUZZ_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(6)
+}
+
+impl StateMachineTest for Exact {
+    type SystemUnderTest = Sim;
+    type Reference = Start;
+
+    fn init_test(ref_state: &Start) -> Sim {
+        let mut sim = start(ref_state.daemons, ref_state.seed);
+        flood(&mut sim, Duration::from_secs(8));
+        sim
+    }
+
+    fn apply(mut state: Sim, _ref_state: &Start, transition: Step) -> Sim {
+        apply(&mut state, &transition);
+        state
+    }
+
+    fn check_invariants(state: &Sim, _ref_state: &Start) {
+        assert_eq!(state.over_admitted, 0, "admitted beyond burst + rate * window");
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: cases(), max_shrink_iters: 40, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_customer_gets_more_than_its_rate_and_burst(sequential 6..24 => Exact);
+}
+
+#[test]
+fn a_quiet_fleet_admits_the_whole_rate() {
+    let mut sim = start(4, 1);
+    flood(&mut sim, Duration::from_secs(8));
+    let before = sim.admitted;
+    flood(&mut sim, Duration::from_secs(10));
+    assert_eq!(sim.over_admitted, 0);
+    // 59.5 tokens a second for 10 s, in requests of 1 token and some of 2.
+    assert!(sim.admitted - before > 480, "admitted {}", sim.admitted - before);
+}
+
+/// A holder that can hear the others but not the news of its fencing: it is cut off the store and from
+/// those that know the change, while others that don't know it confirm its old row.
+fn fence_a_cut_off_holder(seed: u64) -> Sim {
+    let mut sim = start(7, seed);
+    flood(&mut sim, Duration::from_secs(8));
+    // 0 to 3 confirm each other; 4 to 6 reach the store, one acknowledgement too few.
+    for a in 0..4 {
+        let id = sim.fleet.me(a).id;
+        sim.fleet.platform.cut.insert(id);
+        (4..7).for_each(|b| sim.fleet.cut(a, b, true));
+    }
+    let target = sim.fleet.me(0).id;
+    sim.fleet.call(4, "POST", &format!("/v1/fence/{target}"), "");
+    flood(&mut sim, Duration::from_secs(25));
+    sim
+}
+
+#[test]
+fn a_fenced_holder_with_friends_does_not_spend_on() {
+    let sim = fence_a_cut_off_holder(3);
+    // Arranged so that the acknowledgement step decides: without it (feature `mutation`) this fails.
+    assert_eq!(sim.over_admitted, 0);
+}
--- a/crates/wire/src/limit.rs
+++ b/crates/wire/src/limit.rs
@@ -1,34 +1,124 @@
-//! Messages of fleet-wide rate limiting: demand, grants, delegations, acknowledgements.
+//! Messages of fleet-wide rate limiting: shares, delegations, grants.
 
-use base::CustomerId;
+use base::{CustomerId, Version};
 use serde::{Deserialize, Serialize};
 
-/// Tokens wanted by, or granted to, one customer at one daemon.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Tokens {
+/// Number of a cell: one customer shard's part of the shares; see the `limit` crate.
+pub type Cell = u8;
+
+/// Shares delegated for one cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The cell.
+    pub cell: Cell,
+    /// Number of shares.
+    pub shares: u16,
+}
+
+/// One customer's line of a demand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Cell of the customer from which tokens are wanted.
+    pub cell: Cell,
+    /// Thousandths of tokens wanted on top of what is held.
+    pub want: u32,
+    /// Thousandths of earlier grants of the receiver that the sender still holds. Grants that are still
+    /// on their way are not counted: the sender will not accept them any more.
+    pub held: u32,
+    /// Thousandths of earlier grants that the sender gives back unspent.
+    pub back: u32,
+}
+
+/// One customer's line of a grant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Granted {
     /// The customer.
     pub customer: CustomerId,
-    /// Number of tokens.
+    /// Cell from which the tokens come.
+    pub cell: Cell,
+    /// Thousandths of tokens granted.
     pub amount: u32,
+    /// Whether what the demand stated as held lives on until the new lapse.
+    pub extended: bool,
+    /// Shares behind the granter's bucket.
+    pub shares: u16,
+    /// Time in milliseconds until the granter may have one more token.
+    pub retry_ms: u32,
 }
 
 /// What daemons say about rates.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LimitMsg {
-    /// Demand of a daemon towards the aggregator.
+    /// Aggregator to holder: asks for delegations.
+    WantShares {
+        /// Number echoed by the delegation.
+        seq: u64,
+        /// Random number of the aggregator's process.
+        epoch: u64,
+        /// Cells that the sender aggregates.
+        cells: Vec<Cell>,
+    },
+    /// Holder to aggregator: shares that may be spent for a while.
+    Delegate {
+        /// Number of the question.
+        seq: u64,
+        /// Time for which they may be spent, counted from the sending of the question, in milliseconds.
+        ttl_ms: u32,
+        /// Shares by cell; cells that are missing are not delegated.
+        parts: Vec<Part>,
+    },
+    /// Aggregator to holder: nothing of these cells is spent any more.
+    Return {
+        /// Number in the same sequence as the questions; an earlier question is void.
+        seq: u64,
+        /// Random number of the aggregator's process.
+        epoch: u64,
+        /// The cells.
+        cells: Vec<Cell>,
+    },
+    /// Daemon to aggregator.
     Demand {
-        /// Number echoed by the grant.
+        /// Number echoed by the grant; grows.
         seq: u64,
-        /// Tokens wanted.
-        wants: Vec<Tokens>,
+        /// Tokens wanted, held and given back.
+        wants: Vec<Want>,
     },
-    /// Tokens granted by the aggregator.
+    /// Aggregator to daemon.
     Grant {
         /// Number of the demand.
         seq: u64,
         /// Time for which they may be spent, counted from the sending of the demand, in milliseconds.
         ttl_ms: u32,
         /// Tokens granted.
-        grants: Vec<Tokens>,
+        grants: Vec<Granted>,
+    },
+    /// Asks what the receiver knows of the `shares` row.
+    Confirm {
+        /// Number echoed by the answer.
+        seq: u64,
+        /// Version that the sender knows.
+        version: Version,
+    },
+    /// Answer to [`LimitMsg::Confirm`].
+    Confirmed {
+        /// Number of the question.
+        seq: u64,
+        /// Version that the sender knows.
+        version: Version,
+        /// Whether the sender may answer (not freshly started).
+        known: bool,
+        /// Whether nothing that the sender delegated of shares it lost can be spent any more.
+        clear: bool,
+    },
+    /// Asks for the `shares` row.
+    WantRow,
+    /// The `shares` row as the sender knows it.
+    Row {
+        /// Version of the row in the table.
+        version: Version,
+        /// Text of the row.
+        text: Box<str>,
     },
 }
