--- a/crates/limit/src/agree.rs
+++ b/crates/limit/src/agree.rs
@@ -27,21 +27,18 @@
 impl Limit {
     /// The store was read; none if the row does not exist.
     pub(crate) fn read(&mut self, cx: &mut Cx<'_>, row: Option<&Row>, asked_at: Instant) {
-        match row {
-            Some(row) => {
-                self.adopt(cx, row.version, &row.value);
-                if let Some(rights) = &mut self.rights {
-                    rights.read(row.version, asked_at);
-                }
-                self.end_quiet(cx.now, row.version);
-            }
-            None => {
-                if let Some(rights) = self.rights.as_mut().filter(|r| r.version() == 0) {
-                    rights.had_none(cx.now);
-                }
-                self.make_first_row(cx);
+        let Some(row) = row else {
+            if let Some(rights) = self.rights.as_mut().filter(|r| r.version() == 0) {
+                rights.had_none(cx.now);
             }
+            self.make_first_row(cx);
+            return;
+        };
+        self.adopt(cx, row.version, &row.value);
+        if let Some(rights) = &mut self.rights {
+            rights.read(row.version, asked_at);
         }
+        self.end_quiet(cx.now, row.version);
     }
 
     /// A process on an address without shares has no predecessor's delegations to wait out.
