--- a/crates/edge/src/proxy.rs
+++ b/crates/edge/src/proxy.rs
@@ -33,6 +33,8 @@
 const TOKEN_WAIT: Duration = Duration::from_millis(500);
 /// Longest pause before busy servers are looked at again.
 const BUSY_WAIT: Duration = Duration::from_millis(20);
+/// Longest wait of a daemon that just started for its configuration or a first server.
+const SERVER_WAIT: Duration = Duration::from_secs(1);
 /// Weight of all callers of open routes together, in the unit of customers' rates.
 const OPEN_WEIGHT: f64 = 100.0;
 
@@ -126,6 +128,7 @@
     }
     let (parts, body) = req.into_parts();
     hygiene::check(&parts)?;
+    wait_for_conf(shared).await;
     let admitted = admit(&shared.view.load(), &shared.hasher, &parts, now)?;
     trace.set_route(&admitted.route.name, admitted.customer.as_ref());
     caller.set_key(admitted.key);
@@ -154,6 +157,16 @@
     }
 }
 
+/// A daemon that just started gets its configuration within moments.
+async fn wait_for_conf(shared: &Shared) {
+    if shared.view.load().conf.is_some() {
+        return;
+    }
+    let mut keys = shared.keys.subscribe();
+    let known = keys.wait_for(|_| shared.view.load().conf.is_some());
+    let _ = tokio::time::timeout(SERVER_WAIT, known).await;
+}
+
 fn time_allowed(parts: &Parts, admitted: &Admitted) -> Result<Duration, Refusal> {
     let Some(stated) = parts.headers.get(DEADLINE_HEADER) else {
         return Ok(admitted.route.timeout);
@@ -180,7 +193,9 @@
             Take::Empty => {
                 shared.report(Report::Demand { customer: customer.clone(), tokens: admitted.route.cost });
                 if tokio::time::timeout_at(until.into(), changed).await.is_err() {
-                    return Err(Refusal::TokensUnconfirmed.into());
+                    let is_stopping = shared.draining.load(Relaxed);
+                    let refusal = if is_stopping { Refusal::Stopping } else { Refusal::TokensUnconfirmed };
+                    return Err(refusal.into());
                 }
             }
         }
@@ -230,7 +245,7 @@
     let mut last = Refusal::NoServer;
     let mut fallback = None;
     while reached < MAX_TRIES && tried.len() < MAX_SERVERS && job.body.is_left() {
-        let Some(server) = choose(job, gate, &tried).await else {
+        let Some(server) = choose(job, gate, &tried).await? else {
             break;
         };
         tried.push(server.info.id.clone());
@@ -276,31 +291,45 @@
     event!(Debug, RequestRetried, "id={} reason={}", job.trace.id, reason.code());
 }
 
-/// Chooses a server; waits while those that are left are busy.
-async fn choose(job: &Job, gate: &Gate, tried: &[ServerId]) -> Option<Arc<ServerView>> {
+/// Chooses a server; waits while those that are left are busy and the key is valid.
+async fn choose(job: &Job, gate: &Gate, tried: &[ServerId]) -> Result<Option<Arc<ServerView>>, Refusal> {
     let mut rng = rand::rngs::SmallRng::from_rng(&mut rand::rng());
+    let patience = Instant::now() + SERVER_WAIT;
     loop {
         let view = job.shared.view.load_full();
-        let service = view.services.get(job.service())?;
+        let Some(service) = view.services.get(job.service()) else {
+            return Ok(None);
+        };
         let want = route::Want {
             place: &view.place,
             tried,
             repeatable: job.repeatable,
-            cross_region: service.service.cross_region,
+            cross_region: service.service.cross_region && may_cross(job, gate),
             now: Instant::now(),
         };
         if let Some(server) = route::choose(&service.servers, &want, &mut rng) {
-            return Some(Arc::clone(server));
+            return Ok(Some(Arc::clone(server)));
         }
-        if !is_busy(service, &view, tried) {
-            return None;
+        // A daemon that just started may not have heard of the servers yet.
+        let may_come = tried.is_empty() && Instant::now() < patience;
+        if !may_come && !is_busy(service, &view, tried) {
+            return Ok(None);
         }
         gate.freed(BUSY_WAIT).await;
+        job.recheck()?;
     }
 }
 
+/// Whether the link between regions has budget for this request and its expected answer.
+fn may_cross(job: &Job, gate: &Gate) -> bool {
+    let sent = job.body.held().map_or(0, |b| b.len() as u64);
+    job.shared.link().allows(gate.expected_bytes().max(sent), Instant::now())
+}
+
+/// Whether a server that was not tried may take the request soon: it has no free slot, or the link no budget.
 fn is_busy(service: &ServiceView, view: &View, tried: &[ServerId]) -> bool {
-    untried(service, view, tried).any(|s| s.cell.in_flight.load(Relaxed) >= s.info.slots)
+    let is_far = |s: &ServerView| s.info.place.region != view.place.region;
+    untried(service, view, tried).any(|s| is_far(s) || s.cell.in_flight.load(Relaxed) >= s.info.slots)
 }
 
 fn has_more(job: &Job, tried: &[ServerId]) -> bool {
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -460,11 +460,11 @@
     }
 
     fn forward(&mut self, d: Daemon, view: &View, parts: &Parts, secret: &str, customer: &str) {
-        let mut parts = parts.clone();
-        if edge::hygiene::clean_request(&mut parts, Some(secret.as_bytes())).is_err() {
+        let mut outgoing = parts.clone();
+        if edge::hygiene::clean_request(&mut outgoing, Some(secret.as_bytes())).is_err() {
             return;
         }
-        self.oracle.forwarded(secret, &format!("{} {:?}", parts.uri, parts.headers));
+        self.oracle.forwarded(secret, &format!("{outgoing:?}"));
         let now = self.now();
         let Some(service) = view.services.get(SERVICE) else { return };
         let want = route::Want { place: &view.place, tried: &[], repeatable: true, cross_region: true, now };
