Make no demand for nothing

Cause: a wait that ended while less than it was held led to a demand of 0, whose grant led to the next one without end inside one turn of control (found by the new measure program, case even). Change: no demand without a want; a grant that can't be taken pauses its source. Adds the measure program.

--- /dev/null
+++ b/crates/limit/examples/measure/slopes.rs
@@ -0,0 +1,273 @@
+//! Costs of one daemon's limit area against daemons, active customers and shares.
+//!
+//! The kernel under test runs the area alone, in the middle of peers that behave as the area itself does:
+//! they ask for shares, delegate, demand and grant. Memory is the growth of the resident set.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::{DaemonId, Place};
+use kernel::{Area, Cx, Event, Input, Kernel, Me, Member, Output, Report, Setup};
+use limit::Limit;
+use limit::row::{SHARES_KEY, Shares, SharesRow};
+use store::Row;
+use wire::limit::{Granted, LimitMsg, Part, Want};
+use wire::member::MemberState;
+use wire::{Envelope, FleetSecret, Msg};
+
+/// Virtual time that is measured, after as much of warm-up.
+const MEASURED: Duration = Duration::from_secs(10);
+/// Interval of the kernel's ticks.
+const TICK: Duration = Duration::from_millis(kernel::machine::TICK_MS);
+/// Ticks in one second.
+const TICKS_PER_S: u32 = 20;
+/// Rate of each customer, tokens a second over the fleet.
+const RATE: f64 = 10.0;
+
+/// Members, customers and the row, as other areas would give them.
+struct World {
+    peers: Vec<DaemonId>,
+    conf: Arc<conf::Snapshot>,
+    row: Row,
+    next_read: Option<Instant>,
+}
+
+impl Area for World {
+    fn name(&self) -> &'static str {
+        "world"
+    }
+
+    fn on_start(&mut self, cx: &mut Cx<'_>) {
+        for (i, id) in self.peers.iter().enumerate() {
+            cx.board.members.insert(*id, member(*id, i));
+        }
+        cx.pools.set_customers(self.conf.customers.keys());
+        cx.board.conf = Some(Arc::clone(&self.conf));
+        cx.emit(Event::MembersChanged);
+    }
+
+    fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        if self.next_read.is_none_or(|at| cx.now >= at) {
+            self.next_read = Some(cx.now + Duration::from_secs(1));
+            let rows = Arc::from([(SHARES_KEY.into(), self.row.clone())]);
+            cx.emit(Event::FleetRows { rows, asked_at: cx.now });
+        }
+    }
+}
+
+fn member(id: DaemonId, index: usize) -> Member {
+    Member {
+        id,
+        api: id,
+        place: Place::new(region(index), "dc"),
+        incarnation: 1,
+        state: MemberState::Alive,
+        store_down: false,
+        version: 1,
+    }
+}
+
+fn region(index: usize) -> &'static str {
+    if index.is_multiple_of(2) { "meseta" } else { "guanacaste" }
+}
+
+fn address(index: usize) -> DaemonId {
+    SocketAddr::from(([127, 2, (index >> 8) as u8, index as u8], 7_000))
+}
+
+/// What one run cost, each second of virtual time.
+struct Cost {
+    messages: f64,
+    bytes: f64,
+    cpu_percent: f64,
+    kib: f64,
+}
+
+struct Bench {
+    kernel: Kernel,
+    now: Instant,
+    secret: FleetSecret,
+    me: DaemonId,
+    peers: usize,
+    active: usize,
+    seq: u64,
+    sent: u64,
+    bytes: u64,
+    busy: Duration,
+    /// Cells that this daemon aggregates, as its questions tell.
+    cells: Vec<u8>,
+    granted: Vec<(usize, LimitMsg)>,
+}
+
+impl Bench {
+    fn new(daemons: usize, active: usize, shares: usize) -> Self {
+        let ids: Vec<_> = (0..daemons).map(address).collect();
+        let row = SharesRow { shares: Shares::even(&ids, shares), earlier: None, by: ids[0] };
+        let value = serde_json::to_string(&row).expect("a row is JSON").into();
+        let peers = ids[1..].to_vec();
+        let conf = customers(active, shares);
+        let world = World { peers, conf, row: Row { value, version: 1 }, next_read: None };
+        let me = Me::new(ids[0], ids[0], region(1), "dc", 1);
+        let setup = Setup::new(me, 1);
+        let limit = Limit::new(&setup);
+        let now = Instant::now();
+        let kernel = Kernel::with_areas(setup, now, vec![Box::new(world), Box::new(limit)]);
+        let secret = FleetSecret::new(b"secret of the measurement").expect("long enough");
+        let (me, cells, granted) = (ids[0], Vec::new(), Vec::new());
+        let busy = Duration::ZERO;
+        Self {
+            kernel,
+            now,
+            secret,
+            me,
+            peers: daemons - 1,
+            active,
+            seq: 0,
+            sent: 0,
+            bytes: 0,
+            busy,
+            cells,
+            granted,
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        let start = Instant::now();
+        let outputs = self.kernel.handle(self.now, 0, input);
+        let mut sent = Vec::new();
+        for output in outputs {
+            if let Output::Send { to, msg } = output {
+                let envelope = Envelope { from: self.me, to, incarnation: 1, msg };
+                let sealed = wire::seal(&self.secret, &envelope);
+                self.bytes += sealed.len() as u64;
+                self.sent += 1;
+                sent.push((to, envelope.msg));
+            }
+        }
+        self.busy += start.elapsed();
+        for (to, msg) in sent {
+            self.answer(to, msg);
+        }
+    }
+
+    fn hear(&mut self, from: DaemonId, msg: LimitMsg) {
+        self.input(Input::Msg { from, incarnation: 1, msg: Msg::Limit(msg) });
+    }
+
+    /// A peer's answer.
+    fn answer(&mut self, peer: DaemonId, msg: Msg) {
+        match msg {
+            Msg::Limit(LimitMsg::WantShares { seq, cells, .. }) => {
+                let part = |cell: &u8| Part { cell: *cell, shares: 1 };
+                let parts = cells.iter().map(part).collect();
+                self.cells = cells;
+                self.hear(peer, LimitMsg::Delegate { seq, ttl_ms: 4_000, parts });
+            }
+            Msg::Limit(LimitMsg::Demand { seq, wants }) => {
+                let grant = |w: Want| Granted {
+                    customer: w.customer,
+                    cell: w.cell,
+                    amount: w.want,
+                    extended: true,
+                    shares: 1,
+                    retry_ms: 0,
+                };
+                let grants = wants.into_iter().map(grant).collect();
+                self.hear(peer, LimitMsg::Grant { seq, ttl_ms: 1_000, grants });
+            }
+            Msg::Limit(grant @ LimitMsg::Grant { .. }) => self.granted.push((0, grant)),
+            _ => {}
+        }
+    }
+
+    /// One tick: this daemon's traffic, and its part of what peers ask.
+    fn tick(&mut self, tick: u32) {
+        self.now += TICK;
+        self.input(Input::Tick);
+        // Traffic: every active customer once a second here.
+        for i in (0..self.active).filter(|i| *i as u32 % TICKS_PER_S == tick % TICKS_PER_S) {
+            let name: Box<str> = format!("c{i}").into();
+            let pool = self.kernel.pools().get(&name).expect("configured");
+            if pool.take(1, self.now) != kernel::Take::Taken {
+                self.input(Input::Report(Report::Demand { customer: name, tokens: 1 }));
+            }
+        }
+        // Peers: each aggregator of the region asks this holder, every 2 s as at full size.
+        let aggregators = (self.peers / 2).min(64) as u32;
+        let cells_each = 64 / aggregators.max(1);
+        for i in (0..aggregators).filter(|i| i % (2 * TICKS_PER_S) == tick % (2 * TICKS_PER_S)) {
+            self.seq += 1;
+            let cells = (i * cells_each..(i + 1) * cells_each).map(|c| c as u8).collect();
+            let msg = LimitMsg::WantShares { seq: self.seq, epoch: 1, cells };
+            self.hear(address(1 + 2 * i as usize), msg);
+        }
+        self.peers_demand(tick);
+    }
+
+    /// Peers demand for the customers of this daemon's cells: each active customer at two daemons,
+    /// twice a second.
+    fn peers_demand(&mut self, tick: u32) {
+        let cells = self.cells.clone();
+        let share = self.active / 32;
+        for cell in cells {
+            for i in (0..share).filter(|i| *i as u32 % (TICKS_PER_S / 2) == tick % (TICKS_PER_S / 2)) {
+                for peer in 0..2_usize {
+                    self.seq += 1;
+                    let customer = format!("c{i}").into();
+                    let wants = vec![Want { customer, cell, want: 1_000, held: 0, back: 0 }];
+                    let from = address(1 + (i * 2 + peer) % self.peers.max(1));
+                    self.hear(from, LimitMsg::Demand { seq: self.seq, wants });
+                }
+            }
+        }
+    }
+}
+
+fn customers(active: usize, shares: usize) -> Arc<conf::Snapshot> {
+    let mut snapshot = conf::Snapshot::default();
+    snapshot.version = 1;
+    snapshot.fleet.shares = shares as u32;
+    for i in 0..active {
+        let name: Box<str> = format!("c{i}").into();
+        let customer = conf::Customer { name: name.clone(), rate: RATE, burst: RATE };
+        snapshot.customers.insert(name, Arc::new(customer));
+    }
+    Arc::new(snapshot)
+}
+
+/// Resident set of this process in KiB; 0 where the system does not tell.
+fn resident_kib() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text.split(' ').nth(1).and_then(|n| n.parse().ok()).unwrap_or(0.0);
+    pages * 4.0
+}
+
+fn cost(daemons: usize, active: usize, shares: usize) -> Cost {
+    let before = resident_kib();
+    let mut bench = Bench::new(daemons, active, shares);
+    let ticks = MEASURED.as_millis() as u32 / TICK.as_millis() as u32;
+    (0..ticks).for_each(|tick| bench.tick(tick));
+    (bench.sent, bench.bytes, bench.busy) = (0, 0, Duration::ZERO);
+    (0..ticks).for_each(|tick| bench.tick(tick));
+    let seconds = MEASURED.as_secs_f64();
+    Cost {
+        messages: bench.sent as f64 / seconds,
+        bytes: bench.bytes as f64 / seconds,
+        cpu_percent: 100.0 * bench.busy.as_secs_f64() / seconds,
+        kib: resident_kib() - before,
+    }
+}
+
+/// Prints the slopes.
+pub fn run() {
+    println!("daemons,active_customers_here,shares,messages_per_s,bytes_per_s,cpu_percent,growth_kib");
+    let daemons = [8, 70, 140, 280, 560].map(|n| (n, 270, 1_024));
+    let customers = [0, 2_100, 21_000].map(|n| (560, n, 1_024));
+    let shares = [64, 256].map(|n| (8, 270, n));
+    for (daemons, active, shares) in daemons.into_iter().chain(customers).chain(shares) {
+        let cost = cost(daemons, active, shares);
+        let Cost { messages, bytes, cpu_percent, kib } = cost;
+        println!("{daemons},{active},{shares},{messages:.0},{bytes:.0},{cpu_percent:.2},{kib:.0}");
+    }
+}
--- a/crates/limit/src/taker.rs
+++ b/crates/limit/src/taker.rs
@@ -142,8 +142,12 @@
     fn target(&self, now: Instant, rate: f64, burst: f64) -> f64 {
         let ahead = self.rate * AHEAD.as_secs_f64();
         let part = burst * AHEAD_BURST_PART * self.rate / rate.max(f64::MIN_POSITIVE);
-        let waiting = if now < self.waiting_until { f64::from(self.waiting) } else { 0.0 };
-        ahead.min(part) * f64::from(MILLI) + waiting
+        ahead.min(part) * f64::from(MILLI) + self.waiting_at(now)
+    }
+
+    /// Thousandths that requests still wait for.
+    fn waiting_at(&self, now: Instant) -> f64 {
+        if now < self.waiting_until { f64::from(self.waiting) } else { 0.0 }
     }
 
     fn observe(&mut self, now: Instant, elapsed: Duration, pool: &Pool) {
@@ -288,6 +292,9 @@
             pool.extend(source.lot, granted.amount, lapses);
         } else if pool.held(source.lot, now) == 0 {
             pool.fill(source.lot, granted.amount, lapses);
+        } else {
+            // Dropped: what is held lapses on its own, and the granter counts both until then.
+            source.pause_until = now + DRY_PAUSE;
         }
         source.dry = None;
         if granted.amount < want {
@@ -351,10 +358,12 @@
     let target = active.target(now, conf.rate, conf.burst);
     let coming: f64 = active.sources.iter().filter_map(|s| s.pending).map(|p| f64::from(p.2)).sum();
     let have = active.held(now, pool) + coming;
-    if have >= target * LOW_WATER && (active.waiting == 0 || have >= f64::from(active.waiting)) {
+    let enough = (target * LOW_WATER).max(active.waiting_at(now));
+    let want = (target - have).ceil() as u32;
+    // Without a want there is no demand: its grant would lead here again.
+    if have >= enough || want == 0 {
         return;
     }
-    let want = (target - have).ceil() as u32;
     let free = |s: &&mut Source| s.pending.is_none() && now >= s.pause_until;
     if let Some(source) = active.sources.iter_mut().find(free) {
         demand(source, now, customer, pool, seq, (want, 0), demands);
@@ -419,3 +428,7 @@
         active.waiting = 0;
     }
 }
+
+#[cfg(test)]
+#[path = "taker_tests.rs"]
+mod tests;
