--- a/crates/limit/src/taker_tests.rs
+++ b/crates/limit/src/taker_tests.rs
@@ -1,7 +1,6 @@
 //! The taker's single decisions.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use conf::Customer;
 use smallvec::smallvec;
