Keep a place under the floor until no daemon can hold its server out

Cause: the fuzz test found more servers out over all daemons than the floor allows: a coordinator gave the place of a server on its ramp to another while some daemons still held the older list; two coordinators that are cut apart could not know of each other's lists either. Change: the ramp outlasts a list and keeps its place; a daemon that hears two coordinators passes their lists on; the weight by failures no longer multiplies below its minimum, which had starved evidence.

--- a/crates/health/src/area.rs
+++ b/crates/health/src/area.rs
@@ -242,14 +242,28 @@
         self.seq += 1;
         let (me, seq) = (&cx.board.me, self.seq);
         self.lists.take(cx.now, me.id, service, (me.incarnation, seq), &list);
-        let incarnation = me.incarnation;
+        let (coordinator, incarnation) = (me.id, me.incarnation);
         let peers: Vec<_> = cx.board.members.values().filter(|m| m.is_alive()).map(|m| m.id).collect();
         for to in peers {
-            let msg = HealthMsg::Ejections { service: service.clone(), incarnation, seq, list: list.clone() };
+            let (service, list) = (service.clone(), list.clone());
+            let msg = HealthMsg::Ejections { service, coordinator, incarnation, seq, list };
             cx.send(to, Msg::Health(msg));
         }
     }
 
+    /// Tells two coordinators of each other's lists when both are heard here: they may be cut apart.
+    fn pass_on(&mut self, cx: &mut Cx<'_>, service: &ServiceId, heard: DaemonId) {
+        let me = cx.board.me.id;
+        let lists = self.lists.messages(service, cx.now);
+        let others: Vec<_> = lists.iter().filter(|(from, _)| *from != heard && *from != me).collect();
+        for (other, list) in others {
+            cx.send(heard, Msg::Health(list.clone()));
+            for (_, list) in lists.iter().filter(|(from, _)| *from == heard) {
+                cx.send(*other, Msg::Health(list.clone()));
+            }
+        }
+    }
+
     fn send_watch(&mut self, cx: &mut Cx<'_>, service: &ServiceId) {
         let Some(own) = self.coordinated.get_mut(service) else { return };
         let suspects = own.judge.suspects();
@@ -420,8 +434,11 @@
         match msg {
             HealthMsg::Evidence { service, starved, list } => self.hear(cx, from, service, *starved, list),
             HealthMsg::Watch { service, suspects } => self.watch(cx, service, suspects),
-            HealthMsg::Ejections { service, incarnation, seq, list } => {
-                if self.lists.take(cx.now, from, service, (*incarnation, *seq), list) {
+            HealthMsg::Ejections { service, coordinator, incarnation, seq, list } => {
+                if self.lists.take(cx.now, *coordinator, service, (*incarnation, *seq), list) {
+                    if from == *coordinator {
+                        self.pass_on(cx, service, from);
+                    }
                     self.write_verdicts(cx);
                 } else {
                     self.metrics.count("list-stale");
--- a/crates/health/src/judge.rs
+++ b/crates/health/src/judge.rs
@@ -40,8 +40,9 @@
 const TRIAL_LIMIT: Duration = Duration::from_secs(10);
 /// Weights of the ramp after a trial, each for one step.
 const RAMP: [f32; 2] = [WORKING_WEIGHT, 0.75];
-/// Length of a step of the ramp.
-const RAMP_STEP: Duration = Duration::from_secs(2);
+/// Length of a step of the ramp. The whole ramp outlasts a list, so that its place under the floor is
+/// given to another server only when no daemon can still hold this one out.
+const RAMP_STEP: Duration = Duration::from_secs(3);
 
 /// The knob between detection time and false ejections.
 #[derive(Clone, Copy, Debug)]
@@ -248,7 +249,8 @@
         is_ready: &impl Fn(&ServerId) -> bool,
         changes: &mut Vec<Change>,
     ) {
-        let own = self.cases.iter().filter(|(id, c)| c.is_out() && is_ready(id) && !others.contains(id));
+        let own =
+            self.cases.iter().filter(|(id, c)| c.stage.is_some() && is_ready(id) && !others.contains(id));
         let mut room = budget.saturating_sub(own.count() + others.iter().filter(|id| is_ready(id)).count());
         let alone = self.observers.len() == 1;
         let threshold = self.knobs.threshold * if alone { ALONE_FACTOR } else { 1.0 };
@@ -266,8 +268,9 @@
         guilty.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (score, id) in guilty {
             let Some(case) = self.cases.get_mut(&id) else { continue };
-            if room > 0 && now >= self.not_before {
-                room -= 1;
+            let has_place = case.stage.is_some();
+            if (has_place || room > 0) && now >= self.not_before {
+                room -= usize::from(!has_place);
                 case.eject(now, &self.knobs, score);
                 changes.push(Change::Ejected(id, score));
             } else if room == 0 && !std::mem::replace(&mut case.told, true) {
--- a/crates/health/src/lists.rs
+++ b/crates/health/src/lists.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use base::{DaemonId, ServerId, ServiceId};
-use wire::health::Ejected;
+use wire::health::{Ejected, HealthMsg};
 
 use crate::floor::worst;
 
@@ -94,6 +94,26 @@
         union
     }
 
+    /// The lists with live entries, as messages with the time that is left.
+    pub fn messages(&self, service: &ServiceId, now: Instant) -> Vec<(DaemonId, HealthMsg)> {
+        let message = |(coordinator, list): (&DaemonId, &List)| {
+            let live = list.entries.iter().filter(|(_, e)| e.lapses > now);
+            let entry = |(id, e): (&ServerId, &Entry)| Ejected {
+                server: id.clone(),
+                ttl_ms: e.lapses.saturating_duration_since(now).as_millis() as u32,
+                weight: e.weight,
+                score: e.score,
+            };
+            let (service, coordinator, incarnation, seq) =
+                (service.clone(), *coordinator, list.incarnation, list.seq);
+            let list: Vec<Ejected> = live.map(entry).collect();
+            let is_empty = list.is_empty();
+            let msg = HealthMsg::Ejections { service, coordinator, incarnation, seq, list };
+            (!is_empty).then_some((coordinator, msg))
+        };
+        self.heard.get(service).into_iter().flatten().filter_map(message).collect()
+    }
+
     /// Services with at least one entry.
     pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
         self.heard.iter().filter(|(_, ls)| ls.values().any(|l| !l.entries.is_empty())).map(|(id, _)| id)
--- a/crates/health/tests/fuzz.rs
+++ b/crates/health/tests/fuzz.rs
@@ -34,7 +34,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     Run(u8),
-    Sick(usize, bool),
+    /// Exactly the servers of the mask are sick.
+    Sick(u8),
     /// The path from a daemon to a server is bad, or mended.
     Path(usize, usize, bool),
     State(usize, ServerState),
@@ -61,8 +62,8 @@
         let states =
             prop_oneof![Just(ServerState::Ready), Just(ServerState::Draining), Just(ServerState::Starting)];
         prop_oneof![
-            8 => (4..40_u8).prop_map(Step::Run),
-            4 => (0..SERVERS, any::<bool>()).prop_map(|(s, on)| Step::Sick(s, on)),
+            10 => (8..60_u8).prop_map(Step::Run),
+            5 => any::<u8>().prop_map(Step::Sick),
             2 => (0..4_usize, 0..SERVERS, any::<bool>()).prop_map(|(d, s, on)| Step::Path(d, s, on)),
             2 => (0..SERVERS, states).prop_map(|(s, state)| Step::State(s, state)),
             1 => (0..4_usize, 0..4_usize, any::<bool>()).prop_map(|(a, b, both)| Step::Cut(a, b, both)),
@@ -78,6 +79,49 @@
     fn apply(_state: (), _step: &Step) {}
 }
 
+/// No server is ever sick, but paths from the nearest daemon are bad at times.
+#[derive(Clone, Debug)]
+struct Paths;
+
+impl ReferenceStateMachine for Paths {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            2 => (8..60_u8).prop_map(Step::Run),
+            1 => (0..SERVERS, any::<bool>()).prop_map(|(s, on)| Step::Path(s % 4, s, on)),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _step: &Step) {}
+}
+
+/// The same system under bad paths only.
+struct PathSut(Sut);
+
+impl StateMachineTest for PathSut {
+    type SystemUnderTest = Self;
+    type Reference = Paths;
+
+    fn init_test((): &()) -> Self {
+        Self(new_sut())
+    }
+
+    fn apply(state: Self, (): &(), transition: Step) -> Self {
+        Self(Sut::apply(state.0, &(), transition))
+    }
+
+    fn teardown(state: Self, (): ()) {
+        Sut::teardown(state.0, ());
+    }
+}
+
 /// What the oracle knows of a server.
 #[derive(Clone, Copy, Debug)]
 struct Truth {
@@ -203,6 +247,15 @@
         assert!(out.len() <= ready.saturating_sub(stay), "{out:?} of {ready} ready, {stay} have to stay");
     }
 
+    /// Whether every daemon gives every server its whole work.
+    fn is_whole(&self) -> bool {
+        let whole = |d| {
+            let service = self.fleet.view(d).services.get("sacristia");
+            service.is_some_and(|s| s.servers.len() == SERVERS && s.servers.iter().all(|s| s.weight >= 1.0))
+        };
+        (0..PLACES.len()).all(whole)
+    }
+
     fn check_observers(&self, out: &HashSet<ServerId>) {
         for s in 0..SERVERS {
             let paths = self.ever_bad_paths.iter().filter(|(_, server)| *server == s).count();
@@ -239,9 +292,11 @@
         let now = sut.fleet.now();
         match step {
             Step::Run(steps) => sut.run(steps),
-            Step::Sick(s, on) => {
-                sut.truth[s].sick = on;
-                sut.truth[s].ever_sick |= on;
+            Step::Sick(mask) => {
+                for (s, truth) in sut.truth.iter_mut().enumerate() {
+                    truth.sick = mask & (1 << s) != 0;
+                    truth.ever_sick |= truth.sick;
+                }
             }
             Step::Path(d, s, true) => {
                 sut.bad_paths.insert((d, s));
@@ -288,8 +343,9 @@
             truth.sick = false;
             truth.state = ServerState::Ready;
         }
-        for _ in 0..WAY_BACK.as_secs() / 10 {
-            sut.run(40);
+        let end = sut.fleet.now() + WAY_BACK;
+        while sut.fleet.now() < end && !sut.is_whole() {
+            sut.run(4);
         }
         for daemon in 0..PLACES.len() {
             let servers = &sut.fleet.view(daemon).services["sacristia"].servers;
@@ -311,4 +367,7 @@
 
     #[test]
     fn floor_lapse_observers_return_and_drain_hold(sequential 1..30 => Sut);
+
+    #[test]
+    fn no_ejection_on_one_observers_word(sequential 1..12 => PathSut);
 }
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -89,8 +89,8 @@
 fn weight(server: &ServerView, now: Instant) -> f32 {
     let failures = server.cell.failures.load(Relaxed);
     let halvings = failures.saturating_sub(FREE_FAILURES).min(8);
-    let by_failures = 0.5_f32.powi(halvings as i32).max(MIN_WEIGHT);
-    server.weight * by_failures * warmth(server, now)
+    let by_failures = 0.5_f32.powi(halvings as i32);
+    (server.weight * by_failures * warmth(server, now)).max(MIN_WEIGHT.min(server.weight))
 }
 
 fn warmth(server: &ServerView, now: Instant) -> f32 {
--- a/crates/wire/src/health.rs
+++ b/crates/wire/src/health.rs
@@ -1,6 +1,6 @@
 //! Messages of health: evidence digests and ejection lists.
 
-use base::{ServerId, ServiceId};
+use base::{DaemonId, ServerId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 /// What one daemon saw of one server since its last digest.
@@ -52,6 +52,8 @@
     Ejections {
         /// The service.
         service: ServiceId,
+        /// Who made the list; the sender may pass on what another coordinator does not hear.
+        coordinator: DaemonId,
         /// Start of the coordinator's process; lists of an earlier start are dropped.
         incarnation: u64,
         /// Grows with each list of this coordinator.
