Pass reports of loads on in one round instead of three

Change: one round of three partners, and half as many reports. Conclusion: loads also ride on answers, so a slower report loses nothing.

--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -29,6 +29,8 @@
 const FANOUT: usize = 3;
 /// Rounds in which each change is passed on.
 const NEWS_ROUNDS: u8 = 3;
+/// Rounds in which a report of loads is passed on; the next report replaces a lost one.
+const LOADS_ROUNDS: u8 = 1;
 /// Changes in one message; it fits a datagram.
 const MAX_DELTAS: usize = 6;
 /// Changes that wait to be passed on; others are found by the heartbeats' counts.
@@ -46,7 +48,7 @@
 /// Shortest interval between reports of loads.
 const LOADS_MIN: Duration = Duration::from_secs(2);
 /// Interval between reports of loads for each daemon of the fleet.
-const LOADS_PER_DAEMON: Duration = Duration::from_millis(50);
+const LOADS_PER_DAEMON: Duration = Duration::from_millis(100);
 /// Lapse of entries; they end with the vouching daemon's word or heartbeats, so this is never reached.
 const VOUCHED_LAPSE: Duration = Duration::from_hours(10 * 365 * 24);
 
@@ -208,7 +210,8 @@
 
     fn tell(&mut self, news: News) {
         if self.news.len() < MAX_NEWS {
-            self.news.push((news, NEWS_ROUNDS));
+            let rounds = if matches!(news, News::Loads(_)) { LOADS_ROUNDS } else { NEWS_ROUNDS };
+            self.news.push((news, rounds));
         }
     }
 
