Bound the transport between daemons and count what it drops

Cause: receiving waited for control, connections for large messages stayed open for good, and nothing counted refused datagrams. Measured: cargo test -p wire -p pomelod, fuzz of the decoder included, green.

--- a/bins/pomelod/src/api.rs
+++ b/bins/pomelod/src/api.rs
@@ -1,27 +1,43 @@
 //! HTTP for operators and backend servers, and the metrics page.
 
 use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use kernel::{ApiRep, ApiReq};
 use prometheus::{Registry, TextEncoder};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::control::ApiCall;
 
 /// Largest body on the operator API, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Connections of operators and backend servers at the same time.
+const MAX_CONNECTIONS: usize = 2_048;
+/// Longest time until a connection's next request has its headers complete.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept, so that a lasting error costs no processor time.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+
 /// Serves the operator API.
 pub async fn listen(listener: TcpListener, calls: mpsc::Sender<ApiCall>, registry: Registry) {
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             continue;
         };
         let calls = calls.clone();
@@ -31,8 +47,14 @@
             let registry = registry.clone();
             async move { Ok::<_, Infallible>(answer(req, calls, registry).await) }
         });
-        let conn = hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(conn);
+        let conn = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            let _ = conn.await;
+            drop(slot);
+        });
     }
 }
 
@@ -69,5 +91,13 @@
     if calls.send(ApiCall { req, reply }).await.is_err() {
         return gone();
     }
-    answer.await.unwrap_or_else(|_| gone())
+    match tokio::time::timeout(CALL_TIMEOUT, answer).await {
+        Ok(rep) => rep.unwrap_or_else(|_| gone()),
+        Err(_) => ApiRep::error(
+            504,
+            "timeout",
+            "the call took longer than 30 s",
+            "see `pomeloctl status` for its effect before you repeat it",
+        ),
+    }
 }
--- a/bins/pomelod/src/peer.rs
+++ b/bins/pomelod/src/peer.rs
@@ -8,17 +8,58 @@
 use base::event;
 use futures_util::StreamExt;
 use kernel::Input;
+use prometheus::{IntCounterVec, Opts, Registry};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_util::task::TaskTracker;
 use wire::bulk::{Bulk, BulkClient, PostcardCodec, frames};
-use wire::{Envelope, FleetSecret, MAX_DATAGRAM_BYTES};
+use wire::{Envelope, FleetSecret, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, OpenError};
 
 /// Large messages that may wait for one receiver.
 const BULK_QUEUE: usize = 64;
 /// Longest time for one large message.
 const BULK_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a large message after which the sender closes the connection.
+const BULK_IDLE: Duration = Duration::from_secs(30);
+/// Time without a large message after which the receiver closes the connection.
+const BULK_IDLE_RECEIVER: Duration = Duration::from_mins(1);
+/// Connections of other daemons at the same time.
+const MAX_BULK_CONNECTIONS: usize = 1_024;
+/// Pause after a failed accept or receive, so that a lasting error costs no processor time.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Counters of messages between daemons.
+#[derive(Clone, Debug)]
+pub struct PeerMetrics {
+    /// Received messages by result: taken, or the reason for which they were dropped.
+    received: IntCounterVec,
+    /// Messages to send by result: datagram, bulk, or the reason for which they were dropped.
+    sent: IntCounterVec,
+}
+
+impl PeerMetrics {
+    /// Makes and registers the counters. The names are literals, so that a wrong one fails every start.
+    pub fn new(registry: &Registry) -> Self {
+        let make = |name: &str, help: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &["result"]).expect("a valid metric");
+            let _ = registry.register(Box::new(counters.clone()));
+            counters
+        };
+        Self {
+            received: make("pomelo_peer_received_total", "Messages of other daemons by result"),
+            sent: make("pomelo_peer_sent_total", "Messages to other daemons by result"),
+        }
+    }
+
+    fn received(&self, result: &str) {
+        self.received.with_label_values(&[result]).inc();
+    }
+
+    fn sent(&self, result: &str) {
+        self.sent.with_label_values(&[result]).inc();
+    }
+}
 
 /// Sends messages to other daemons and feeds received ones to the kernel.
 #[derive(Debug)]
@@ -27,6 +68,7 @@
     udp: Arc<UdpSocket>,
     bulk: HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
     tracker: TaskTracker,
+    metrics: PeerMetrics,
 }
 
 /// Opens received messages and hands them to the kernel.
@@ -35,24 +77,42 @@
     secret: FleetSecret,
     me: SocketAddr,
     inputs: mpsc::Sender<Input>,
+    metrics: PeerMetrics,
 }
 
 impl Receiver {
-    async fn receive(&self, sealed: &[u8]) {
-        match wire::open(&self.secret, sealed) {
+    /// Takes a message without waiting; what control can't take at once is dropped, as a full network
+    /// would.
+    fn receive(&self, sealed: &[u8]) {
+        let result = match wire::open(&self.secret, sealed) {
             Ok(e) if e.to == self.me => {
                 let input = Input::Msg { from: e.from, incarnation: e.incarnation, msg: e.msg };
-                let _ = self.inputs.send(input).await;
+                if self.inputs.try_send(input).is_ok() { "taken" } else { "queue-full" }
             }
-            Ok(e) => event!(Debug, DatagramRefused, "from={} addressed to {}", e.from, e.to),
-            Err(e) => event!(Debug, DatagramRefused, "{e}"),
-        }
+            Ok(e) => {
+                event!(Debug, DatagramRefused, "from={} addressed to {}", e.from, e.to);
+                "other-address"
+            }
+            Err(e) => {
+                event!(Debug, DatagramRefused, "{e}");
+                refusal(e)
+            }
+        };
+        self.metrics.received(result);
+    }
+}
+
+const fn refusal(e: OpenError) -> &'static str {
+    match e {
+        OpenError::NotOurs => "not-ours",
+        OpenError::NotAuthentic => "not-authentic",
+        OpenError::Malformed => "malformed",
     }
 }
 
 impl Bulk for Receiver {
     async fn deliver(self, _cx: tarpc::context::Context, sealed: Vec<u8>) {
-        self.receive(&sealed).await;
+        self.receive(&sealed);
     }
 }
 
@@ -62,31 +122,36 @@
         secret: FleetSecret,
         udp: UdpSocket,
         tcp: TcpListener,
-        _incarnation: u64,
+        metrics: PeerMetrics,
         inputs: mpsc::Sender<Input>,
     ) -> Self {
         let udp = Arc::new(udp);
         let me = udp.local_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)));
-        let receiver = Receiver { secret: secret.clone(), me, inputs };
+        let receiver = Receiver { secret: secret.clone(), me, inputs, metrics: metrics.clone() };
         tokio::spawn(receive_datagrams(Arc::clone(&udp), receiver.clone()));
         tokio::spawn(receive_bulk(tcp, receiver));
-        Self { secret, udp, bulk: HashMap::new(), tracker: TaskTracker::new() }
+        Self { secret, udp, bulk: HashMap::new(), tracker: TaskTracker::new(), metrics }
     }
 
-    /// Sends a message without waiting; a message that can't be sent at once is lost.
+    /// Sends a message without waiting; a message that can't be sent at once is lost and counted.
     pub fn send(&mut self, envelope: &Envelope) {
         let sealed = wire::seal(&self.secret, envelope);
-        if sealed.len() <= MAX_DATAGRAM_BYTES {
-            let _ = self.udp.try_send_to(&sealed, envelope.to);
-            return;
-        }
         let to = envelope.to;
-        let queue = self.bulk.get(&to).filter(|q| !q.is_closed());
-        let queue = queue.cloned().unwrap_or_else(|| self.open_bulk(to));
-        let _ = queue.try_send(sealed);
+        let result = if sealed.len() <= MAX_DATAGRAM_BYTES {
+            let is_sent = self.udp.try_send_to(&sealed, to).is_ok();
+            if is_sent { "datagram" } else { "socket-full" }
+        } else if sealed.len() > MAX_FRAME_BYTES {
+            "too-large"
+        } else {
+            let queue = self.bulk.get(&to).filter(|q| !q.is_closed()).cloned();
+            let queue = queue.unwrap_or_else(|| self.open_bulk(to));
+            if queue.try_send(sealed).is_ok() { "bulk" } else { "bulk-queue-full" }
+        };
+        self.metrics.sent(result);
     }
 
     fn open_bulk(&mut self, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
+        self.bulk.retain(|_, q| !q.is_closed());
         let (tx, rx) = mpsc::channel(BULK_QUEUE);
         self.tracker.spawn(send_bulk(to, rx));
         self.bulk.insert(to, tx.clone());
@@ -104,25 +169,41 @@
 async fn receive_datagrams(udp: Arc<UdpSocket>, receiver: Receiver) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES + 1];
     loop {
-        if let Ok((len, _)) = udp.recv_from(&mut buf).await {
-            receiver.receive(&buf[..len]).await;
+        match udp.recv_from(&mut buf).await {
+            Ok((len, _)) if len > MAX_DATAGRAM_BYTES => receiver.metrics.received("too-large"),
+            Ok((len, _)) => receiver.receive(&buf[..len]),
+            Err(_) => tokio::time::sleep(ERROR_PAUSE).await,
         }
     }
 }
 
 async fn receive_bulk(tcp: TcpListener, receiver: Receiver) {
+    let slots = Arc::new(Semaphore::new(MAX_BULK_CONNECTIONS));
     loop {
         let Ok((stream, _)) = tcp.accept().await else {
+            tokio::time::sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            receiver.metrics.received("too-many-connections");
             continue;
         };
-        let transport =
-            tarpc::serde_transport::new(tokio_util::codec::Framed::new(stream, frames()), PostcardCodec);
         let receiver = receiver.clone();
-        tokio::spawn(BaseChannel::with_defaults(transport).execute(receiver.serve()).for_each(
-            |response| async {
-                response.await;
-            },
-        ));
+        tokio::spawn(async move {
+            serve_bulk(stream, receiver).await;
+            drop(slot);
+        });
+    }
+}
+
+/// Takes large messages of one connection, one after the other, until it is idle for too long.
+async fn serve_bulk(stream: TcpStream, receiver: Receiver) {
+    let transport =
+        tarpc::serde_transport::new(tokio_util::codec::Framed::new(stream, frames()), PostcardCodec);
+    let requests = BaseChannel::with_defaults(transport).execute(receiver.serve());
+    tokio::pin!(requests);
+    while let Ok(Some(response)) = tokio::time::timeout(BULK_IDLE_RECEIVER, requests.next()).await {
+        response.await;
     }
 }
 
@@ -133,7 +214,7 @@
     let transport =
         tarpc::serde_transport::new(tokio_util::codec::Framed::new(stream, frames()), PostcardCodec);
     let client = BulkClient::new(tarpc::client::Config::default(), transport).spawn();
-    while let Some(sealed) = rx.recv().await {
+    while let Ok(Some(sealed)) = tokio::time::timeout(BULK_IDLE, rx.recv()).await {
         let mut cx = tarpc::context::current();
         cx.deadline = Instant::now() + BULK_TIMEOUT;
         if client.deliver(cx, sealed).await.is_err() {
--- a/bins/pomelod/src/settings.rs
+++ b/bins/pomelod/src/settings.rs
@@ -107,8 +107,8 @@
         .map_err(|e| error("POMELO_FLEET_SECRET", e.to_string(), "give all daemons the same secret"))?;
     let settings = Settings {
         listen: addr(args, "--listen", Some(local))?,
-        api: addr(args, "--api", Some(local))?,
-        peer_listen: addr(args, "--peer-listen", Some(local))?,
+        api: own_addr(args, "--api", local)?,
+        peer_listen: own_addr(args, "--peer-listen", local)?,
         store: addr(args, "--store", None)?,
         region: text(args, "--region", None)?,
         data_centre: text(args, "--data-centre", None)?,
@@ -143,6 +143,16 @@
     parse_addr(flag, &text)
 }
 
+/// An address that other daemons are told, so that it has to be one they can reach.
+fn own_addr(args: &mut Arguments, flag: &'static str, default: &str) -> Result<SocketAddr, SettingError> {
+    let addr = addr(args, flag, Some(default))?;
+    if addr.ip().is_unspecified() || addr.ip().is_multicast() {
+        let remedy = "give the instance's own IP address, because other daemons are told it";
+        return Err(error(flag, format!("{addr} can't be reached by others"), remedy));
+    }
+    Ok(addr)
+}
+
 fn parse_addr(flag: &str, text: &str) -> Result<SocketAddr, SettingError> {
     let remedy = "give an IP address and port such as 127.0.0.1:8080";
     text.parse().map_err(|e| error(flag, format!("{text:?}: {e}"), remedy))
@@ -166,3 +176,7 @@
         _ => Err(error(flag, format!("{text:?} is no number from 1 to 64"), "give a number of threads")),
     }
 }
+
+#[cfg(test)]
+#[path = "settings_tests.rs"]
+mod settings_tests;
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -102,3 +102,7 @@
         Ok(_) | Err(_) => Err(OpenError::Malformed),
     }
 }
+
+#[cfg(test)]
+#[path = "seal_tests.rs"]
+mod seal_tests;
