--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -14,7 +14,7 @@
 use wire::Msg;
 use wire::member::{Beat, MemberInfo, MemberMsg, MemberState, Short, short};
 
-use crate::table::{Change, Pace, Table};
+use crate::table::{Change, Judged, Pace, Table};
 use crate::{metrics, rows, targets};
 
 kernel::inventory::submit! {
@@ -169,24 +169,32 @@
         let partners = self.partners(cx);
         self.spread_news(cx, &partners);
         let is_due = self.next_beat.is_none_or(|at| cx.now >= at) || self.told != Self::facts(cx);
+        let mut own = None;
         if is_due {
             let pace = Pace::new(cx.board.members.len() + 1);
             self.next_beat = Some(cx.now + pace.beat);
-            let beat = self.own_beat(cx);
-            let version = cx.board.version();
-            for to in &partners {
-                cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
-            }
+            own = Some(self.own_beat(cx));
         }
+        self.spread_beats(cx, &partners, own);
+    }
+
+    fn spread_beats(&mut self, cx: &mut Cx<'_>, partners: &[DaemonId], mut own: Option<Beat>) {
         if partners.is_empty() {
             return;
         }
         for _ in 0..MAX_BATCHES {
-            let (version, beats) = self.table.take_hot(partners.len(), MAX_BEATS);
+            let (newest, mut beats) = self.table.take_hot(partners.len(), MAX_BEATS - 1);
+            let mut version = newest;
+            if let Some(own) = own.take() {
+                version = newest.max(cx.board.version());
+                raise(&mut beats, version - newest);
+                let behind = (version - cx.board.version()).min(u64::from(u32::MAX >> 1)) as u32;
+                beats.push(Beat { word: own.word | behind << 1, ..own });
+            }
             if beats.is_empty() {
-                break;
+                return;
             }
-            for to in &partners {
+            for to in partners {
                 cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: beats.clone() }));
             }
         }
@@ -206,19 +214,27 @@
         self.news.retain(|(_, rounds)| *rounds > 0);
     }
 
-    fn probe(&mut self, cx: &mut Cx<'_>, overdue: &[DaemonId]) {
-        if overdue.is_empty() || self.next_probe.is_some_and(|at| cx.now < at) {
+    /// Probes members that are not heard in time; suspects by way of others too.
+    fn probe(&mut self, cx: &mut Cx<'_>, judged: &Judged) {
+        let is_quiet = judged.overdue.is_empty() && judged.suspect.is_empty();
+        if is_quiet || self.next_probe.is_some_and(|at| cx.now < at) {
             return;
         }
         self.next_probe = Some(cx.now + PROBE_INTERVAL);
-        let chosen: Vec<_> = overdue.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
-        let helpers: Vec<_> =
-            self.table.iter().filter(|p| p.info.state == MemberState::Alive).map(|p| p.info.id).collect();
-        for target in chosen {
+        let suspect: Vec<_> = judged.suspect.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
+        let overdue: Vec<_> = judged.overdue.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
+        for target in suspect.iter().chain(&overdue) {
             self.metrics.probes.inc();
-            cx.send(target, Msg::Member(MemberMsg::Ping));
+            cx.send(*target, Msg::Member(MemberMsg::Ping));
+        }
+        if suspect.is_empty() {
+            return;
+        }
+        let alive = self.table.iter().filter(|p| p.info.state == MemberState::Alive);
+        let alive: Vec<_> = alive.map(|p| p.info.id).collect();
+        for target in suspect {
             let helpers: SmallVec<[DaemonId; HELPERS]> =
-                helpers.choose_multiple(cx.rng, HELPERS).copied().collect();
+                alive.choose_multiple(cx.rng, HELPERS).copied().collect();
             for helper in helpers {
                 cx.send(helper, Msg::Member(MemberMsg::PingReq { target }));
             }
@@ -307,8 +323,8 @@
 
     fn judge(&mut self, cx: &mut Cx<'_>) {
         let pace = Pace::new(cx.board.members.len() + 1);
-        let (overdue, gone) = self.table.judge(cx.now, &pace);
-        for id in &overdue {
+        let judged = self.table.judge(cx.now, &pace);
+        for id in &judged.suspect {
             if let Some(member) = cx.board.members.get_mut(id)
                 && member.state == MemberState::Alive
             {
@@ -317,7 +333,7 @@
                 self.metrics.changes.with_label_values(&["suspect"]).inc();
             }
         }
-        for id in &gone {
+        for id in &judged.gone {
             event!(Warn, MemberDown, "daemon={id}");
             self.metrics.changes.with_label_values(&["down"]).inc();
             cx.board.vouched.remove(id);
@@ -325,11 +341,11 @@
                 cx.board.gone.insert(*id, member.place);
             }
         }
-        if !gone.is_empty() {
+        if !judged.gone.is_empty() {
             cx.emit(Event::MembersChanged);
             cx.publish();
         }
-        self.probe(cx, &overdue);
+        self.probe(cx, &judged);
     }
 
     fn take_update(&mut self, cx: &mut Cx<'_>, from: DaemonId, members: &[MemberInfo]) {
@@ -460,6 +476,14 @@
     }
 }
 
+/// Counts heartbeats from a version that is higher by `by`.
+fn raise(beats: &mut [Beat], by: u64) {
+    let by = by.min(u64::from(u32::MAX >> 2)) as u32;
+    for beat in beats {
+        beat.word = beat.word.saturating_add(by << 1);
+    }
+}
+
 impl Area for Roster {
     fn name(&self) -> &'static str {
         "member"
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -43,6 +43,20 @@
     }
 }
 
+/// Time for a direct probe alone, before others are asked to probe too.
+const DIRECT_TIME: Duration = Duration::from_millis(350);
+
+/// Members that are not heard in time.
+#[derive(Debug, Default)]
+pub(crate) struct Judged {
+    /// Their heartbeats may have missed this daemon by chance; a direct probe tells.
+    pub(crate) overdue: Vec<DaemonId>,
+    /// Direct probes got no answer either.
+    pub(crate) suspect: Vec<DaemonId>,
+    /// Given up.
+    pub(crate) gone: Vec<DaemonId>,
+}
+
 /// What is known of one daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
@@ -223,9 +237,9 @@
         Some((peer.version, peer.beat(peer.version)))
     }
 
-    /// Members that turned overdue, members to give up, both by the pace.
-    pub(crate) fn judge(&mut self, now: Instant, pace: &Pace) -> (Vec<DaemonId>, Vec<DaemonId>) {
-        let (mut overdue, mut gone) = (Vec::new(), Vec::new());
+    /// Judges all members by the pace.
+    pub(crate) fn judge(&mut self, now: Instant, pace: &Pace) -> Judged {
+        let mut judged = Judged::default();
         for (id, peer) in &mut self.peers {
             if !peer.is_talking() || now < peer.heard + pace.suspect_after {
                 continue;
@@ -233,15 +247,15 @@
             if now >= peer.heard + pace.dead_after {
                 peer.info.state = MemberState::Dead;
                 peer.heard = now;
-                gone.push(*id);
+                judged.gone.push(*id);
+            } else if now >= peer.heard + pace.suspect_after + DIRECT_TIME {
+                peer.info.state = MemberState::Suspect;
+                judged.suspect.push(*id);
             } else {
-                if peer.info.state == MemberState::Alive {
-                    peer.info.state = MemberState::Suspect;
-                }
-                overdue.push(*id);
+                judged.overdue.push(*id);
             }
         }
-        (overdue, gone)
+        judged
     }
 
     /// Gives every member `gap` more time, because this process could not listen.
