Move registration out of the roster; a row of an unheard successor ends nobody

Change: registration.rs; such rows wait until the member is silent; shared names count from their owner only.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -10,6 +10,7 @@
 mod drains;
 mod metrics;
 mod proof;
+mod registration;
 mod rows;
 mod table;
 mod targets;
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -6,16 +6,16 @@
 use base::{DaemonId, event};
 use kernel::{ApiRep, ApiReq, Area, AreaEntry, Cx, Event, Member, Setup, StoreToken, Ticket};
 use prometheus::{IntCounter, IntCounterVec};
-use rand::Rng;
 use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
 use smallvec::SmallVec;
-use store::{Row, StoreError, StoreOp, StoreRep};
+use store::{StoreError, StoreRep};
 use wire::Msg;
 use wire::member::{Beat, MemberInfo, MemberMsg, MemberState, Short, short};
 
+use crate::registration::{Registration, note_gone};
 use crate::table::{Change, Judged, Pace, Table};
-use crate::{metrics, rows, targets};
+use crate::{metrics, targets};
 
 kernel::inventory::submit! {
     AreaEntry { name: "member", order: 10, build: |setup| Box::new(Roster::new(setup)) }
@@ -45,14 +45,6 @@
 const NEWS_ROUNDS: u8 = 4;
 /// Gap between ticks above which this process was paused.
 const PAUSE_GAP: Duration = Duration::from_millis(500);
-/// Interval between reads of the table while no other daemon is known.
-const READ_ALONE: Duration = Duration::from_secs(1);
-/// Interval between reads of the table otherwise, so that a fleet of 560 makes 9 reads a second.
-const READ_INTERVAL: Duration = Duration::from_mins(1);
-/// Interval between attempts to write the own row.
-const WRITE_RETRY: Duration = Duration::from_secs(5);
-/// Time after which the row of a daemon that ended without leaving is deleted.
-const STALE_ROW_AFTER: Duration = Duration::from_mins(10);
 /// Longest wait of a stopping daemon for the deletion of its row.
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 
@@ -64,16 +56,6 @@
     deadline: Instant,
 }
 
-/// What the store knows of this daemon's row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OwnRow {
-    Absent,
-    Writing(StoreToken),
-    Written(u64),
-    Deleting(StoreToken),
-    Deleted,
-}
-
 /// Counters of membership.
 #[derive(Debug)]
 struct Metrics {
@@ -104,13 +86,10 @@
     next_round: Option<Instant>,
     next_probe: Option<Instant>,
     next_contact: Option<Instant>,
-    next_read: Option<Instant>,
-    next_write: Option<Instant>,
     last_tick: Option<Instant>,
     news: Vec<(MemberInfo, u8)>,
     relays: Vec<Relay>,
-    row: OwnRow,
-    read: Option<StoreToken>,
+    registration: Registration,
     leave_deadline: Option<Instant>,
     metrics: Metrics,
 }
@@ -127,13 +106,10 @@
             next_round: None,
             next_probe: None,
             next_contact: None,
-            next_read: None,
-            next_write: None,
             last_tick: None,
             news: Vec::new(),
             relays: Vec::new(),
-            row: OwnRow::Absent,
-            read: None,
+            registration: Registration::default(),
             leave_deadline: None,
             metrics: Metrics::new(setup),
         }
@@ -356,7 +332,7 @@
             let is_direct = info.id == from;
             let change = self.table.merge(cx.now, info, is_direct);
             if change == Change::None && info.state == MemberState::Dead {
-                self.note_gone(cx, info.id);
+                note_gone(cx, &self.table, info.id);
             }
             // Whoever introduces itself gets the whole table: it may know nobody else.
             if is_direct && matches!(change, Change::Up(_)) {
@@ -368,20 +344,11 @@
         }
     }
 
-    /// Counts a daemon that is known only by hearsay for majorities.
-    fn note_gone(&self, cx: &mut Cx<'_>, id: DaemonId) {
-        if let Some(peer) = self.table.get(id)
-            && peer.info.state == MemberState::Dead
-        {
-            cx.board.gone.insert(id, peer.info.place.clone());
-        }
-    }
-
     fn take_beats(&mut self, cx: &mut Cx<'_>, from: DaemonId, version: u64, beats: &[Beat]) {
         let me = short(cx.board.me.id, cx.board.me.incarnation);
         let mut wants = Vec::new();
         for beat in beats.iter().filter(|b| b.daemon != me) {
-            let change = self.table.beat(cx.now, beat, version);
+            let change = self.table.beat(cx.now, from, beat, version);
             if let Change::Unknown(name) = change
                 && wants.len() < MAX_WANTS
             {
@@ -406,59 +373,6 @@
         }
     }
 
-    fn keep_row(&mut self, cx: &mut Cx<'_>) {
-        match self.row {
-            OwnRow::Absent if !cx.board.stopping && self.next_write.is_none_or(|at| cx.now >= at) => {
-                self.next_write = Some(cx.now + WRITE_RETRY);
-                self.row = OwnRow::Writing(cx.store(StoreOp::Commit(rows::register(&cx.board.me))));
-            }
-            OwnRow::Written(version) if cx.board.stopping => {
-                let commit = rows::delete(cx.board.me.id, version);
-                self.row = OwnRow::Deleting(cx.store(StoreOp::Commit(commit)));
-            }
-            _ => {}
-        }
-        let interval = if cx.board.members.is_empty() { READ_ALONE } else { READ_INTERVAL };
-        let is_due = self.next_read.is_none_or(|at| cx.now >= at || at > cx.now + interval * 2);
-        if is_due && self.read.is_none() && !cx.board.stopping {
-            self.next_read = Some(cx.now + interval.mul_f64(cx.rng.random_range(0.5..1.5)));
-            self.read = Some(cx.store(StoreOp::Range { prefix: rows::PREFIX.into() }));
-        }
-    }
-
-    fn take_rows(&mut self, cx: &mut Cx<'_>, list: &[(Box<str>, Row)]) {
-        let me = cx.board.me.id;
-        let mut present = BTreeSet::new();
-        for (key, row) in list {
-            let Some(info) = rows::parse(key, row) else { continue };
-            present.insert(info.id);
-            if info.id == me {
-                continue;
-            }
-            self.table.merge(cx.now, &info, false);
-            self.note_gone(cx, info.id);
-            self.clean(cx, info.id, row.version);
-        }
-        if !present.contains(&me) && matches!(self.row, OwnRow::Written(_)) {
-            self.row = OwnRow::Absent;
-        }
-        let absent: Vec<_> = cx.board.gone.keys().filter(|id| !present.contains(id)).copied().collect();
-        for id in absent {
-            cx.board.gone.remove(&id);
-            self.table.remove(id);
-        }
-    }
-
-    /// Deletes the row of a daemon that ended long ago; one living daemon is responsible for each row.
-    fn clean(&self, cx: &mut Cx<'_>, id: DaemonId, version: u64) {
-        let Some(peer) = self.table.get(id) else { return };
-        let is_stale = peer.info.state == MemberState::Dead && cx.now >= peer.heard + STALE_ROW_AFTER;
-        let owner = base::rendezvous::owner(&rows::key(id), cx.board.alive().into_iter());
-        if is_stale && owner == Some(cx.board.me.id) {
-            cx.store(StoreOp::Commit(rows::delete(id, version)));
-        }
-    }
-
     fn members_json(cx: &Cx<'_>) -> Value {
         let b = &cx.board;
         let me = json!({
@@ -503,7 +417,7 @@
         self.judge(cx);
         self.round(cx);
         self.contact(cx);
-        self.keep_row(cx);
+        self.registration.keep(cx);
         self.table.forget(cx.now);
     }
 
@@ -529,18 +443,7 @@
     }
 
     fn on_store(&mut self, cx: &mut Cx<'_>, token: StoreToken, res: &Result<StoreRep, StoreError>) {
-        if self.row == OwnRow::Writing(token) {
-            self.row = match res {
-                Ok(StoreRep::Committed { version }) => OwnRow::Written(*version),
-                _ => OwnRow::Absent,
-            };
-        } else if self.row == OwnRow::Deleting(token) {
-            self.row = OwnRow::Deleted;
-        } else if self.read.take_if(|t| *t == token).is_some()
-            && let Ok(StoreRep::Rows(rows)) = res
-        {
-            self.take_rows(cx, rows);
-        }
+        self.registration.on_store(cx, &mut self.table, token, res);
     }
 
     fn on_event(&mut self, cx: &mut Cx<'_>, event: &Event) {
@@ -549,7 +452,7 @@
             self.news.push((Self::me(cx), NEWS_ROUNDS));
             let partners = self.partners(cx);
             self.spread_news(cx, &partners);
-            self.keep_row(cx);
+            self.registration.keep(cx);
         }
     }
 
@@ -566,7 +469,7 @@
         json!({
             "alive": count(MemberState::Alive), "suspect": count(MemberState::Suspect),
             "gone": count(MemberState::Dead), "left": count(MemberState::Left),
-            "registered": matches!(self.row, OwnRow::Written(_)),
+            "registered": self.registration.is_written(),
         })
     }
 
@@ -576,6 +479,6 @@
             (Some(deadline), Some(now)) => now >= deadline,
             _ => false,
         };
-        is_late || (is_told && self.row == OwnRow::Deleted)
+        is_late || (is_told && self.registration.is_deleted())
     }
 }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -78,10 +78,14 @@
         matches!(self.info.state, MemberState::Alive | MemberState::Suspect)
     }
 
+    fn name(&self) -> Short {
+        short(self.info.id, self.info.incarnation)
+    }
+
     fn beat(&self, newest: Version) -> Beat {
         let behind = newest.saturating_sub(self.version).min(u64::from(u32::MAX >> 1)) as u32;
         Beat {
-            daemon: short(self.info.id, self.info.incarnation),
+            daemon: self.name(),
             clock: self.clock,
             word: behind << 1 | u32::from(self.store_down),
             vouched: self.vouched,
@@ -146,15 +150,14 @@
                 }
                 Change::None
             }
+            // A row or hearsay of a successor that nobody heard yet does not end the one that is heard.
+            Some(p) if info.state == MemberState::Dead && p.is_talking() => Change::None,
             _ => self.insert(now, info),
         }
     }
 
     fn insert(&mut self, now: Instant, info: &MemberInfo) -> Change {
-        let old = self.peers.remove(&info.id);
-        if let Some(old) = &old {
-            self.by_short.remove(&short(old.info.id, old.info.incarnation));
-        }
+        let old = self.take_out(info.id);
         let name = short(info.id, info.incarnation);
         let slot = self.by_short.entry(name).or_insert(Some(info.id));
         if *slot != Some(info.id) {
@@ -178,12 +181,15 @@
         }
     }
 
-    /// Takes a heartbeat out of a message whose highest version is `newest`.
-    pub(crate) fn beat(&mut self, now: Instant, beat: &Beat, newest: Version) -> Change {
-        let Some(id) = self.by_short.get(&beat.daemon) else {
-            return Change::Unknown(beat.daemon);
+    /// Takes a heartbeat out of a message of `from` whose highest version is `newest`.
+    pub(crate) fn beat(&mut self, now: Instant, from: DaemonId, beat: &Beat, newest: Version) -> Change {
+        let id = match self.by_short.get(&beat.daemon) {
+            None => return Change::Unknown(beat.daemon),
+            Some(Some(id)) => *id,
+            // Two daemons share the name, so only what one of them sends itself is certain.
+            Some(None) => from,
         };
-        let Some(peer) = id.and_then(|id| self.peers.get_mut(&id)) else {
+        let Some(peer) = self.peers.get_mut(&id).filter(|p| p.name() == beat.daemon) else {
             return Change::None;
         };
         if beat.clock <= peer.clock {
@@ -280,8 +286,22 @@
 
     /// Forgets one daemon.
     pub(crate) fn remove(&mut self, id: DaemonId) {
-        if let Some(peer) = self.peers.remove(&id) {
-            self.by_short.remove(&short(id, peer.info.incarnation));
-        }
+        self.take_out(id);
+    }
+
+    fn take_out(&mut self, id: DaemonId) -> Option<Peer> {
+        let old = self.peers.remove(&id)?;
+        let name = old.name();
+        let mut sharing = self.peers.values().filter(|p| p.name() == name).map(|p| p.info.id);
+        match (sharing.next(), sharing.next()) {
+            (None, _) => self.by_short.remove(&name),
+            (Some(other), None) => self.by_short.insert(name, Some(other)),
+            (Some(_), Some(_)) => None,
+        };
+        Some(old)
     }
 }
+
+#[cfg(test)]
+#[path = "table_tests.rs"]
+mod table_tests;
--- a/crates/member/tests/common/mod.rs
+++ b/crates/member/tests/common/mod.rs
@@ -1,22 +1,31 @@
 //! Fixtures: a small fleet with the areas of this crate and a head that is a mere number.
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use base::DaemonId;
 use conf::Snapshot;
 use fake::{Fleet, Index};
 use kernel::{Area, AreaEntry, Cx, Event, Setup};
 use member as _;
+use serde_json::{Value, json};
 use store::{Commit, StoreOp, Write};
 
 kernel::inventory::submit! {
-    AreaEntry { name: "head", order: 15, build: |_: &Setup| Box::new(Head { fetched: 0 }) }
+    AreaEntry { name: "head", order: 15, build: |_: &Setup| Box::new(Head::default()) }
 }
 
+/// Longest age of a current view.
+const FRESH: Duration = Duration::from_secs(3);
+
 /// Stands for the configuration area: follows the number in `fleet/head`, with a tick for the fetch.
+#[derive(Default)]
 struct Head {
-    fetched: u64,
+    /// When each holder was last pulled from, by the sending of the question.
+    pulled: BTreeMap<DaemonId, Instant>,
+    now: Option<Instant>,
 }
 
 impl Area for Head {
@@ -29,7 +38,10 @@
             Event::FleetRows { rows, .. } => {
                 rows.iter().find(|(k, _)| **k == *"fleet/head").map_or(0, |(_, r)| r.value.parse().unwrap())
             }
-            Event::Pulled { known, .. } => known.version,
+            Event::Pulled { from, known, asked_at } => {
+                self.pulled.insert(*from, *asked_at);
+                known.version
+            }
             _ => 0,
         };
         cx.board.head_seen = cx.board.head_seen.max(seen);
@@ -41,9 +53,15 @@
             snapshot.version = cx.board.head_seen;
             snapshot.fleet.store_region = Some("meseta".into());
             cx.board.conf = Some(Arc::new(snapshot));
-            self.fetched += 1;
             cx.emit(Event::ConfChanged);
         }
+        self.now = Some(cx.now);
+        cx.board.holders = cx.board.alive().into();
+    }
+
+    fn status(&self) -> Value {
+        let is_fresh = |at: &&Instant| self.now.is_some_and(|now| now < **at + FRESH);
+        json!({ "fresh_holders": self.pulled.values().filter(is_fresh).count() })
     }
 }
 
--- a/crates/member/tests/fresh.rs
+++ b/crates/member/tests/fresh.rs
@@ -142,3 +142,20 @@
     // 40 daemons may not need more than the whole fleet's 300 reads a second.
     assert!(per_second <= 45, "{per_second}");
 }
+
+#[rstest]
+fn enough_holders_are_pulled_from_while_the_store_is_down() {
+    let mut fleet = Fleet::new(3, &places(10, 10));
+    run(&mut fleet, 6);
+    fleet.platform.down = true;
+    run(&mut fleet, 5);
+    for _ in 0..30 {
+        fleet.run_for(Duration::from_millis(250));
+        for index in 0..20 {
+            let status = fleet.ask(index, "GET", "/v1/status", "").unwrap().body;
+            let fresh = status["areas"]["head"]["fresh_holders"].as_u64().unwrap();
+            // 30% of 20 holders and one more.
+            assert!(fresh >= 7, "{index} has {fresh}");
+        }
+    }
+}
