--- a/crates/member/tests/slopes.rs
+++ b/crates/member/tests/slopes.rs
@@ -68,7 +68,7 @@
         announce_all(&mut fleet, size);
         fleet.run_for(Duration::from_secs(1));
     }
-    let before: Vec<_> = (0..size.daemons).map(|i| fleet.sent(i)).collect();
+    let before: Vec<_> = (0..size.daemons).map(|i| fleet.cost(i)).collect();
     let reads = fleet.platform.reads;
     let started = Instant::now();
     for _ in 0..MEASURE_S {
@@ -78,9 +78,10 @@
     let elapsed = started.elapsed().as_secs_f64();
     let per_s = MEASURE_S as f64;
     let mut bytes: Vec<_> =
-        (0..size.daemons).map(|i| (fleet.sent(i).0 - before[i].0) as f64 / per_s).collect();
+        (0..size.daemons).map(|i| (fleet.cost(i).bytes_sent - before[i].bytes_sent) as f64 / per_s).collect();
     bytes.sort_by(f64::total_cmp);
-    let messages: u64 = (0..size.daemons).map(|i| fleet.sent(i).1 - before[i].1).sum();
+    let messages: u64 =
+        (0..size.daemons).map(|i| fleet.cost(i).messages_sent - before[i].messages_sent).sum();
     let known = fleet.kernel(size.daemons - 1).unwrap().board();
     format!(
         "{},{},{store_down},{:.0},{:.0},{:.1},{:.2},{:.2},{:.1},{},{}",
