Answer probes with the newest heartbeat instead of a new one

Cause: each answer to a probe was a new heartbeat that spread to the whole fleet; 280 daemons sent 10.7 KB/s.

--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -129,6 +129,12 @@
     fn own_beat(&mut self, cx: &Cx<'_>) -> Beat {
         self.clock += 1;
         self.told = Self::facts(cx);
+        self.last_beat(cx)
+    }
+
+    /// The newest heartbeat of this daemon. It answers a probe: who probes has missed it, and a new one
+    /// would be spread to the whole fleet.
+    fn last_beat(&self, cx: &Cx<'_>) -> Beat {
         let me = &cx.board.me;
         let word = u32::from(cx.board.store_down);
         Beat { daemon: short(me.id, me.incarnation), clock: self.clock, word, vouched: cx.board.vouch_seq }
@@ -263,6 +269,10 @@
             member.state = peer.info.state;
         }
         cx.board.vouched.insert(id, peer.vouched);
+    }
+
+    /// Passes the newest heartbeat of a probed daemon on to those that asked for the probe.
+    fn pass_on(&mut self, cx: &mut Cx<'_>, id: DaemonId) {
         let Some((version, beat)) = self.table.beat_of(id) else { return };
         for relay in self.relays.extract_if(.., |r| r.target == id) {
             cx.send(relay.asker, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
@@ -356,6 +366,8 @@
             }
             self.apply(cx, change);
         }
+        // Any word of a probed daemon answers the probe, also when its heartbeat is known here.
+        self.pass_on(cx, from);
         if !wants.is_empty() {
             cx.send(from, Msg::Member(MemberMsg::Want { daemons: wants }));
         }
@@ -426,7 +438,7 @@
         match msg {
             MemberMsg::Ping => {
                 let version = cx.board.version();
-                let beats = vec![self.own_beat(cx)];
+                let beats = vec![self.last_beat(cx)];
                 cx.send(from, Msg::Member(MemberMsg::Beats { version, beats }));
             }
             MemberMsg::PingReq { target } => {
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -115,3 +115,12 @@
     run(&mut fleet, 3);
     assert_eq!(members(&fleet, 0), 5);
 }
+
+#[rstest]
+fn a_daemon_that_reaches_only_one_other_stays_a_member_of_all() {
+    let mut fleet = settled(4, 4);
+    for index in 2..8 {
+        fleet.cut(0, index, true);
+    }
+    assert_eq!(lowest_counts(&mut fleet), [7; 8]);
+}
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -59,7 +59,7 @@
 /// What daemons say about membership.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MemberMsg {
-    /// Asks the receiver for a new heartbeat of its own.
+    /// Asks the receiver for its newest heartbeat.
     Ping,
     /// Asks the receiver to probe a third daemon and to pass on its next heartbeat.
     PingReq {
