--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -272,7 +272,8 @@
         self.answer(cx, job, "committed", ApiRep::ok(body));
     }
 
-    fn fail(&mut self, cx: &mut Cx<'_>, job: &Job, rep: ApiRep) {
+    fn fail(&mut self, cx: &mut Cx<'_>, job: &Job, mut rep: ApiRep) {
+        rep.body["change"] = json!(change_name(job.change));
         let result = rep.body["error"].as_str().unwrap_or("error").to_owned();
         if matches!(job.edit, Edit::Withdraw(_)) && rep.status == 503 {
             let body = json!({ "state": "in force, not yet stored", "reason": rep.body });
@@ -315,15 +316,13 @@
 
 fn give_up(work: &Work) -> ApiRep {
     let change = change_name(work.job.change);
-    let mut rep = if work.is_maybe_applied {
+    if work.is_maybe_applied {
         let problem = format!("the store does not say whether change {change} took effect");
         let remedy = "look for the change in `pomeloctl history` before you repeat it";
         ApiRep::error(503, "commit-unknown", &problem, remedy)
     } else {
         store_down()
-    };
-    rep.body["change"] = json!(change);
-    rep
+    }
 }
 
 /// An operator's whole configuration, without the state of the fleet's keys.
