--- a/bins/pomeloctl/src/command.rs
+++ b/bins/pomeloctl/src/command.rs
@@ -1,141 +1,161 @@
-//! The commands: parsed from arguments, carried out by calls to a daemon.
+//! Carries out commands by calls to a daemon.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Instant;
 
-use derive_more::{Display, Error};
-use hyper::Method;
-use pico_args::Arguments;
-use serde_json::json;
+use serde_json::{Value, json};
 
+use crate::args::{Args, Call, Command, HELP, View};
 use crate::client::{Answer, call};
+use crate::diff::diff;
+use crate::in_force::{rows, wait};
+use crate::table::{fields, table};
 
-const HELP: &str = "\
-pomeloctl: operator command line of pomelopath
-
-Usage: pomeloctl --api ADDR COMMAND
-
-  check FILE                         check a configuration without a daemon
-  apply FILE                         apply a configuration
-  keys give CUSTOMER NAME            give a key; prints the secret once
-  keys withdraw NAME                 withdraw a key
-  status                             state of the daemon
-  servers                            announced backend servers
+/// The daemon or the validation refused.
+const REFUSED: u8 = 1;
+/// Wrong usage.
+pub const USAGE: u8 = 2;
+/// No daemon answers.
+const NO_DAEMON: u8 = 3;
+/// `diff` found differences.
+const DIFFERENT: u8 = 4;
+/// Accepted, but not in force everywhere within the wait.
+const NOT_IN_FORCE: u8 = 5;
 
---api may be given as POMELO_API.";
+/// Why a command ended early: exit code and text.
+struct Failure(u8, String);
 
-/// Wrong usage.
-#[derive(Debug, Display, Error)]
-#[display("{problem}; see pomeloctl --help")]
-pub struct UsageError {
-    problem: Box<str>,
+/// Carries out a command and prints its result.
+pub async fn run(args: &Args) -> ExitCode {
+    match carry_out(args).await {
+        Ok(code) => ExitCode::from(code),
+        Err(Failure(code, text)) => {
+            eprintln!("{text}");
+            ExitCode::from(code)
+        }
+    }
 }
 
-/// One command.
-#[derive(Debug)]
-pub enum Command {
-    /// Print the help.
-    Help,
-    /// Check a file without a daemon.
-    Check(Box<str>),
-    /// One call to a daemon.
-    Call {
-        /// API address.
-        api: SocketAddr,
-        /// Method.
-        method: Method,
-        /// Path.
-        path: Box<str>,
-        /// Body.
-        body: Vec<u8>,
-    },
+async fn carry_out(args: &Args) -> Result<u8, Failure> {
+    match &args.command {
+        Command::Help => {
+            println!("{HELP}");
+            Ok(0)
+        }
+        Command::Check(file) => check(file, args.json),
+        Command::Diff(file) => show_diff(args, file).await,
+        Command::Change { call, wait_s } => change(args, call, *wait_s).await,
+        Command::Call(call) => {
+            let answer = ask(args, call).await?;
+            show(args.json, call.view, &answer.body);
+            Ok(0)
+        }
+    }
 }
 
-fn usage(problem: impl Into<Box<str>>) -> UsageError {
-    UsageError { problem: problem.into() }
+fn api(args: &Args) -> Result<SocketAddr, Failure> {
+    let problem = "pomeloctl: no daemon named; give --api or POMELO_API, see pomeloctl --help";
+    args.api.ok_or_else(|| Failure(USAGE, problem.into()))
 }
 
-/// Parses the arguments.
-///
-/// # Errors
-/// Fails when they are no command.
-pub fn parse() -> Result<Command, UsageError> {
-    let mut args = Arguments::from_env();
-    if args.contains("--help") {
-        return Ok(Command::Help);
-    }
-    let api: Option<SocketAddr> = args.opt_value_from_str("--api").map_err(|e| usage(e.to_string()))?;
-    let api = api.or_else(|| std::env::var("POMELO_API").ok()?.parse().ok());
-    let words: Vec<String> = args.finish().into_iter().map(|w| w.to_string_lossy().into_owned()).collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    if let ["check", file] = words.as_slice() {
-        return Ok(Command::Check((*file).into()));
+/// Asks the daemon; a refusal becomes a failure with its remedy.
+async fn ask(args: &Args, what: &Call) -> Result<Answer, Failure> {
+    let answer = call(api(args)?, what.method.clone(), &what.path, what.body.clone())
+        .await
+        .map_err(|e| Failure(NO_DAEMON, format!("pomeloctl: {e}")))?;
+    if answer.status < 300 {
+        return Ok(answer);
     }
-    let api = api.ok_or_else(|| usage("no daemon named with --api or POMELO_API"))?;
-    let (method, path, body) = match words.as_slice() {
-        ["apply", file] => {
-            let body = std::fs::read(file).map_err(|e| usage(format!("{file}: {e}")))?;
-            (Method::PUT, "/v1/config".into(), body)
-        }
-        ["keys", "give", customer, name] => {
-            let body = json!({ "customer": customer, "name": name }).to_string().into_bytes();
-            (Method::POST, "/v1/keys".into(), body)
-        }
-        ["keys", "withdraw", name] => (Method::DELETE, format!("/v1/keys/{name}"), Vec::new()),
-        ["status"] => (Method::GET, "/v1/status".into(), Vec::new()),
-        ["servers"] => (Method::GET, "/v1/servers".into(), Vec::new()),
-        other => return Err(usage(format!("no command {:?}", other.join(" ")))),
+    let body = &answer.body;
+    let text = match (body["problem"].as_str(), body["remedy"].as_str()) {
+        // A fault of the configuration already names its remedy.
+        (Some(problem), _) if body["error"] == "invalid" && !args.json => problem.to_owned(),
+        (Some(problem), Some(remedy)) if !args.json => format!("{}: {problem}; {remedy}", body["error"]),
+        _ => pretty(body),
     };
-    Ok(Command::Call { api, method, path: path.into(), body })
+    Err(Failure(REFUSED, text))
 }
 
-/// Carries out a command and prints its result.
-pub async fn run(command: &Command) -> ExitCode {
-    match command {
-        Command::Help => {
-            println!("{HELP}");
-            ExitCode::SUCCESS
-        }
-        Command::Check(file) => check(file),
-        Command::Call { api, method, path, body } => {
-            match call(*api, method.clone(), path, body.clone()).await {
-                Ok(answer) => print(&answer),
-                Err(e) => {
-                    eprintln!("pomeloctl: {e}");
-                    ExitCode::from(3)
-                }
-            }
-        }
+fn read(file: &str) -> Result<conf::source::Source, Failure> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| Failure(USAGE, format!("pomeloctl: {file}: {e}; name a readable file")))?;
+    conf::source::parse(file, &text).map_err(|e| Failure(REFUSED, e.to_string()))
+}
+
+fn check(file: &str, json: bool) -> Result<u8, Failure> {
+    let source = read(file)?;
+    let snapshot = conf::compile(&source, 1).map_err(|e| {
+        let e = conf::ConfError { file: file.into(), ..e };
+        Failure(REFUSED, if json { pretty(&json!(e)) } else { e.to_string() })
+    })?;
+    let (customers, routes) = (snapshot.customers.len(), snapshot.routes().count());
+    if json {
+        println!("{}", pretty(&json!({ "valid": true, "customers": customers, "routes": routes })));
+    } else {
+        println!("{file} is valid: {customers} customers, {routes} routes");
     }
+    Ok(0)
 }
 
-fn check(file: &str) -> ExitCode {
-    let text = match std::fs::read_to_string(file) {
-        Ok(text) => text,
-        Err(e) => {
-            eprintln!("pomeloctl: {file}: {e}; name a readable file");
-            return ExitCode::from(2);
-        }
-    };
-    match conf::source::parse(file, &text).and_then(|source| conf::compile(&source, 1)) {
-        Ok(_) => {
-            println!("{file} is valid");
-            ExitCode::SUCCESS
-        }
-        Err(e) => {
-            eprintln!("{e}");
-            ExitCode::from(1)
+async fn show_diff(args: &Args, file: &str) -> Result<u8, Failure> {
+    let wanted = read(file)?;
+    let answer = ask(args, &Call::get("/v1/config", View::Fields)).await?;
+    let text = answer.body["toml"].as_str().unwrap_or("");
+    let present =
+        conf::source::parse("configuration in force", text).map_err(|e| Failure(REFUSED, e.to_string()))?;
+    let lines = diff(&present, &wanted);
+    if args.json {
+        println!("{}", pretty(&json!({ "version": answer.body["version"], "differences": lines })));
+    } else {
+        println!("compared with version {}", answer.body["version"]);
+        for line in &lines {
+            println!("{line}");
         }
     }
+    Ok(if lines.is_empty() { 0 } else { DIFFERENT })
 }
 
-fn print(answer: &Answer) -> ExitCode {
-    let text = serde_json::to_string_pretty(&answer.body).unwrap_or_default();
-    if answer.status < 300 {
-        println!("{text}");
-        ExitCode::SUCCESS
+async fn change(args: &Args, what: &Call, wait_s: u64) -> Result<u8, Failure> {
+    let mut answer = ask(args, what).await?.body;
+    let version = answer["version"].as_u64().unwrap_or(0);
+    if !args.json {
+        println!("accepted as version {version}");
+    }
+    let accepted_at = Instant::now();
+    let (members, stragglers) = wait(api(args)?, version, wait_s).await;
+    let elapsed_ms = accepted_at.elapsed().as_millis() as u64;
+    let late: Vec<String> = stragglers
+        .iter()
+        .map(|(api, known)| {
+            format!("{api} ({})", known.map_or("no answer".into(), |v| format!("version {v}")))
+        })
+        .collect();
+    if args.json {
+        answer["members"] = json!(members);
+        answer["stragglers"] = json!(late);
+        answer["elapsed_ms"] = json!(elapsed_ms);
+        println!("{}", pretty(&answer));
+    } else if late.is_empty() {
+        println!("in force at all {members} members after {elapsed_ms} ms");
     } else {
-        eprintln!("{text}");
-        ExitCode::from(1)
+        println!("not in force at {} of {members} members after {wait_s} s:", late.len());
+        for line in &late {
+            println!("  {line}");
+        }
     }
+    Ok(if late.is_empty() { 0 } else { NOT_IN_FORCE })
+}
+
+fn show(json: bool, view: View, body: &Value) {
+    let text = match view {
+        _ if json => pretty(body),
+        View::Fields => fields(body, 0),
+        View::Table(name, columns) => table(rows(body, name), columns),
+    };
+    println!("{text}");
+}
+
+fn pretty(value: &Value) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
 }
--- a/bins/pomeloctl/src/main.rs
+++ b/bins/pomeloctl/src/main.rs
@@ -1,20 +1,26 @@
-//! `pomeloctl`: operator command line. Exit codes: 0 done, 1 refused, 2 wrong usage, 3 no daemon answers.
+//! `pomeloctl`: operator command line. Exit codes stand in its help.
 
+mod args;
+#[cfg(test)]
+mod args_tests;
 mod client;
 mod command;
+mod diff;
+mod in_force;
+mod table;
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     env_logger::init();
-    let command = match command::parse() {
-        Ok(command) => command,
+    let args = match args::parse(pico_args::Arguments::from_env()) {
+        Ok(args) => args,
         Err(e) => {
             eprintln!("pomeloctl: {e}");
-            return ExitCode::from(2);
+            return ExitCode::from(command::USAGE);
         }
     };
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime starts");
-    runtime.block_on(command::run(&command))
+    runtime.block_on(command::run(&args))
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -43,7 +43,7 @@
 
 # give_key CUSTOMER NAME: prints the secret of a new key.
 give_key() {
-    "$BIN/pomeloctl" keys give "$1" "$2" | sed -n 's/.*"secret": "\([^"]*\)".*/\1/p'
+    "$BIN/pomeloctl" --json keys give "$1" "$2" | sed -n 's/.*"secret": "\([^"]*\)".*/\1/p'
 }
 
 # restart_daemon NUMBER SIGNAL: ends a daemon, waits for its exit and starts it on the same addresses.
