--- a/bins/pomeloctl/src/args.rs
+++ b/bins/pomeloctl/src/args.rs
@@ -75,6 +75,8 @@
     pub body: Vec<u8>,
     /// How the answer is printed.
     pub view: View,
+    /// File from which the body was read.
+    pub file: Option<Box<str>>,
 }
 
 /// How an answer is printed for people.
@@ -127,6 +129,7 @@
         ["apply", file] => {
             let body = std::fs::read(file).map_err(|e| UsageError::new(format!("{file}: {e}")))?;
             let call = Call::new(Method::PUT, format!("/v1/config{base}"), body, View::Fields);
+            let call = Call { file: Some((*file).into()), ..call };
             Command::Change { call, wait_s }
         }
         ["rollback", version] => {
@@ -150,7 +153,7 @@
 
 impl Call {
     fn new(method: Method, path: impl Into<Box<str>>, body: Vec<u8>, view: View) -> Self {
-        Self { method, path: path.into(), body, view }
+        Self { method, path: path.into(), body, view, file: None }
     }
 
     /// A read.
--- a/bins/pomeloctl/src/command.rs
+++ b/bins/pomeloctl/src/command.rs
@@ -68,25 +68,37 @@
         return Ok(answer);
     }
     let body = &answer.body;
+    if let Some(text) = fault(what, body).filter(|_| !args.json) {
+        return Err(Failure(REFUSED, text));
+    }
     let text = match (body["problem"].as_str(), body["remedy"].as_str()) {
-        // A fault of the configuration already names its remedy.
-        (Some(problem), _) if body["error"] == "invalid" && !args.json => problem.to_owned(),
-        (Some(problem), Some(remedy)) if !args.json => format!("{}: {problem}; {remedy}", body["error"]),
+        (Some(problem), Some(remedy)) if !args.json => format!("{problem}; {remedy}"),
         _ => pretty(body),
     };
     Err(Failure(REFUSED, text))
 }
 
-fn read(file: &str) -> Result<conf::source::Source, Failure> {
+/// A fault of the configuration, with its place in the operator's file.
+fn fault(what: &Call, body: &Value) -> Option<String> {
+    let error: conf::ConfError = serde_json::from_value(body["fault"].clone()).ok()?;
+    let error = match &what.file {
+        Some(file) => conf::locate(error, file, &String::from_utf8_lossy(&what.body)),
+        None => error,
+    };
+    Some(error.to_string())
+}
+
+fn read(file: &str) -> Result<(String, conf::source::Source), Failure> {
     let text = std::fs::read_to_string(file)
         .map_err(|e| Failure(USAGE, format!("pomeloctl: {file}: {e}; name a readable file")))?;
-    conf::source::parse(file, &text).map_err(|e| Failure(REFUSED, e.to_string()))
+    let source = conf::source::parse(file, &text).map_err(|e| Failure(REFUSED, e.to_string()))?;
+    Ok((text, source))
 }
 
 fn check(file: &str, json: bool) -> Result<u8, Failure> {
-    let source = read(file)?;
+    let (text, source) = read(file)?;
     let snapshot = conf::compile(&source, 1).map_err(|e| {
-        let e = conf::ConfError { file: file.into(), ..e };
+        let e = conf::locate(e, file, &text);
         Failure(REFUSED, if json { pretty(&json!(e)) } else { e.to_string() })
     })?;
     let (customers, routes) = (snapshot.customers.len(), snapshot.routes().count());
@@ -99,7 +111,7 @@
 }
 
 async fn show_diff(args: &Args, file: &str) -> Result<u8, Failure> {
-    let wanted = read(file)?;
+    let (_, wanted) = read(file)?;
     let answer = ask(args, &Call::get("/v1/config", View::Fields)).await?;
     let text = answer.body["toml"].as_str().unwrap_or("");
     let present =
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod compile;
 pub mod error;
 pub mod key;
+pub mod locate;
 pub(crate) mod part;
 pub mod render;
 pub mod shard;
@@ -33,5 +34,6 @@
 pub use compile::{Compiler, compile};
 pub use error::ConfError;
 pub use key::{KeyHash, KeyHasher};
+pub use locate::locate;
 pub use shard::{Config, Digest, Tombstone};
 pub use snapshot::{Customer, Dedupe, Fleet, Key, Repeat, Route, Service, Snapshot, StaleKeys};
--- a/crates/conf/src/source.rs
+++ b/crates/conf/src/source.rs
@@ -184,7 +184,9 @@
 
 /// Turns a TOML error into one with file, line and remedy.
 pub(crate) fn toml_error(file: &str, text: &str, error: &toml::de::Error) -> ConfError {
-    let line = error.span().map(|s| text[..s.start.min(text.len())].lines().count().max(1) as u32);
+    let line = error
+        .span()
+        .map(|s| text.as_bytes().iter().take(s.start).filter(|b| **b == b'\n').count() as u32 + 1);
     let problem = error.message().replace('\n', " ");
     let remedy = "correct the file as docs/OPERATING.md describes";
     ConfError { line, ..ConfError::new(file, "syntax", problem, remedy) }
--- /dev/null
+++ b/crates/conf/tests/tree.rs
@@ -0,0 +1,92 @@
+//! The hash tree: whole after any order of arrival, small changes move little.
+
+use std::sync::Arc;
+
+use conf::source::{CustomerSource, Source};
+use conf::tree::{Chunks, Load, build, load};
+use conf::{Compiler, Config};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn source(customers: usize) -> Source {
+    let customer = |n: usize| CustomerSource {
+        name: format!("customer-{n}").into(),
+        rate: 10.0,
+        burst: 10.0,
+        template: None,
+        params: [].into(),
+    };
+    Source { customer: (0..customers).map(customer).collect(), ..Source::default() }
+}
+
+/// Loads a tree by asking for what is missing, as a daemon does; returns the chunks asked for.
+fn fetch(root: &conf::Digest, all: &Chunks, known: &Chunks, base: &Config) -> (Config, usize) {
+    let mut chunks = known.clone();
+    let mut asked = 0;
+    loop {
+        match load(root, &chunks, base).expect("a sound tree") {
+            Load::Complete(config) => return (*config, asked),
+            Load::Missing(missing) => {
+                asked += missing.len();
+                chunks.extend(missing.iter().map(|d| (*d, Arc::clone(&all[d]))));
+            }
+        }
+    }
+}
+
+#[rstest]
+fn one_changed_customer_moves_three_chunks() {
+    let old = Config::from_source(&source(3_000));
+    let mut wanted = source(3_000);
+    wanted.customer[7].rate = 99.0;
+    let (old_tree, tree) = (build(&old), build(&Config::from_source(&wanted)));
+    let (_, asked) = fetch(&tree.root, &tree.chunks, &old_tree.chunks, &old);
+    assert_eq!(asked, 3);
+}
+
+#[rstest]
+fn chunk_of_another_place_is_refused() {
+    let tree = build(&Config::from_source(&source(10)));
+    let mut chunks = tree.chunks.clone();
+    let leaf = Arc::clone(&Config::from_source(&source(10)).global.bytes);
+    chunks.insert(tree.root, leaf);
+    let e = load(&tree.root, &chunks, &Config::default()).expect_err("a fault");
+    assert_eq!(&*e.field, "tree");
+}
+
+#[rstest]
+fn incremental_compile_equals_whole_compile() {
+    let mut compiler = Compiler::default();
+    compiler.compile(&Config::from_source(&source(200)), 1).expect("valid");
+    let mut wanted = source(200);
+    wanted.customer[7].rate = 99.0;
+    let next = compiler.compile(&Config::from_source(&wanted), 2).expect("valid");
+    assert_eq!(next.customers, conf::compile(&wanted, 2).expect("valid").customers);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_change_is_loaded_as_it_was_made(
+        old in proptest::collection::btree_map(0..400_u32, 1..9_u32, 0..60),
+        new in proptest::collection::btree_map(0..400_u32, 1..9_u32, 0..60),
+    ) {
+        let make = |map: &std::collections::BTreeMap<u32, u32>| {
+            let mut source = source(0);
+            source.customer = map.iter().map(|(n, rate)| CustomerSource {
+                name: format!("customer-{n}").into(),
+                rate: f64::from(*rate),
+                burst: 10.0,
+                template: None,
+                params: [].into(),
+            }).collect();
+            Config::from_source(&source)
+        };
+        let (old, new) = (make(&old), make(&new));
+        let (known, tree) = (build(&old).chunks, build(&new));
+        let (loaded, _) = fetch(&tree.root, &tree.chunks, &known, &old);
+        prop_assert_eq!(loaded.to_source(), new.to_source());
+        prop_assert_eq!(build(&loaded).root, tree.root);
+    }
+}
--- a/crates/sync/examples/scale.rs
+++ b/crates/sync/examples/scale.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p sync --example scale` prints key=value lines.
 
 use std::hint::black_box;
+use std::sync::Arc;
 use std::time::Instant;
 
 use conf::source::{CustomerSource, KeySource, ServiceSource, Source};
@@ -109,7 +110,7 @@
             .chunks
             .iter()
             .filter(|(d, _)| !tree.chunks.contains_key(*d))
-            .map(|(d, b)| (*d, b.clone()))
+            .map(|(d, b)| (*d, Arc::clone(b)))
             .collect();
         moved += new.values().map(|c| c.len()).sum::<usize>();
         chunks_moved += new.len();
--- a/crates/sync/tests/state_machine.rs
+++ b/crates/sync/tests/state_machine.rs
@@ -311,8 +311,9 @@
         Sut::new()
     }
 
-    fn apply(mut sut: Sut, (): &(), step: Step) -> Sut {
-        match step {
+    fn apply(mut state: Sut, (): &(), transition: Step) -> Sut {
+        let sut = &mut state;
+        match transition {
             Step::Apply(d) => sut.apply(d),
             Step::Race(a, b) => {
                 sut.apply(a);
@@ -336,11 +337,11 @@
             Step::Wait(ms) => sut.wait(Duration::from_millis(ms)),
         }
         sut.wait(STEP);
-        sut
+        state
     }
 
-    fn teardown(mut sut: Sut, (): ()) {
-        sut.check_healed();
+    fn teardown(mut state: Sut, (): ()) {
+        state.check_healed();
     }
 }
 
