Write the answers of racing operators as whole lines in the config experiment

Cause: two operators appended to one file at once, and merged lines counted as two lost changes. Change: one write for each answer. The bounds stay. Conclusion: the script was at fault, not the fleet.

--- a/scripts/experiments/config.sh
+++ b/scripts/experiments/config.sh
@@ -12,8 +12,7 @@
     variant "$2"
     "$BIN/pomeloctl" --api "$(addr "$1" api)" --json apply "$RUN_DIR/variant-$2.toml" \
         >"$RUN_DIR/answer-$2" 2>&1 || true
-    tr -d '\n' <"$RUN_DIR/answer-$2" >>"$RUN_DIR/answers"
-    echo >>"$RUN_DIR/answers"
+    printf '%s\n' "$(tr -d '\n' <"$RUN_DIR/answer-$2")" >>"$RUN_DIR/answers"
 }
 
 # watch DAEMON: counts how often the daemon's version falls.
