Let long writes of chunks go on while they make progress, and pass withdrawals on at exit

Cause: writing all 1,058 chunks to a store that takes 300 ms a call needs 10 s, but a change was given up after 8 s and called refused by a store that is down; a daemon that stopped gracefully kept a withdrawal for itself if its pushes were lost. Change: each chunk moves the deadlines, up to a minute; a stop pushes withdrawals again; a change that waits for the present version is refused as such; shares of faults outside 0 to 1 are refused.

--- a/bins/pomelo-store/src/faults.rs
+++ b/bins/pomelo-store/src/faults.rs
@@ -31,6 +31,11 @@
 }
 
 impl Faults {
+    /// Whether every share is one.
+    pub fn is_valid(&self) -> bool {
+        [self.lost_answers, self.errors].iter().all(|share| (0.0..=1.0).contains(share))
+    }
+
     /// Draws the fate of a call.
     pub fn fate(&self, caller: &str, is_write: bool, rng: &mut impl Rng) -> Fate {
         if self.down || self.cut.iter().any(|c| **c == *caller) || rng.random::<f64>() < self.errors {
--- a/bins/pomelo-store/src/main.rs
+++ b/bins/pomelo-store/src/main.rs
@@ -1,6 +1,8 @@
 //! `pomelo-store`: stand-in of the platform's table service and object store, with injectable faults.
 
 mod faults;
+#[cfg(test)]
+mod faults_tests;
 mod serve;
 
 use std::net::SocketAddr;
--- a/bins/pomelo-store/src/serve.rs
+++ b/bins/pomelo-store/src/serve.rs
@@ -94,7 +94,10 @@
 }
 
 fn set_faults(state: &Shared, body: &[u8]) -> Response<Full<Bytes>> {
-    match serde_json::from_slice(body) {
+    match serde_json::from_slice::<Faults>(body) {
+        Ok(faults) if !faults.is_valid() => {
+            text(StatusCode::BAD_REQUEST, "lost_answers and errors are shares from 0 to 1")
+        }
         Ok(faults) => {
             lock(state).faults = faults;
             text(StatusCode::OK, "set")
--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -82,10 +82,12 @@
             (Stage::ReadVersion(_), Ok(StoreRep::Row(row))) => self.on_version(cx, work, row.as_ref()),
             (Stage::ReadChunks(root, mut chunks), Ok(StoreRep::Object(Some(bytes)))) => {
                 chunks.insert(digest(bytes), bytes.as_slice().into());
+                work.made_progress(cx.now);
                 self.on_old_chunks(cx, work, root, chunks)
             }
             (Stage::Put(plan), Ok(StoreRep::Stored)) => {
                 self.metrics.chunks("to-store", 1);
+                work.made_progress(cx.now);
                 let is_last = plan.todo.is_empty() && work.tokens.is_empty();
                 let stage = if is_last { Stage::Set(plan) } else { Stage::Put(plan) };
                 if is_last {
@@ -315,11 +317,14 @@
 }
 
 fn give_up(work: &Work) -> ApiRep {
-    let change = change_name(work.job.change);
     if work.is_maybe_applied {
+        let change = change_name(work.job.change);
         let problem = format!("the store does not say whether change {change} took effect");
         let remedy = "look for the change in `pomeloctl history` before you repeat it";
         ApiRep::error(503, "commit-unknown", &problem, remedy)
+    } else if matches!(work.stage, Stage::AwaitHead) {
+        let problem = "this daemon could not get the present version; the change was not made";
+        ApiRep::error(503, "not-current", problem, "repeat the change at another daemon")
     } else {
         store_down()
     }
--- a/crates/sync/src/area.rs
+++ b/crates/sync/src/area.rs
@@ -284,6 +284,11 @@
                 }
             }
             Event::Pulled { from, known, .. } => self.on_pulled(cx, *from, known),
+            Event::Stopping => {
+                for peer in self.some_peers(cx, FANOUT, None) {
+                    self.send_withdrawals(cx, peer);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/sync/src/commit.rs
+++ b/crates/sync/src/commit.rs
@@ -23,8 +23,10 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// Time after which a change that provably had no effect is refused.
 const REFUSE_AFTER: Duration = Duration::from_secs(3);
-/// Time after which a change is refused that was always overtaken by others, or that needs many chunks.
+/// Time without progress after which a change ends with what is known about it.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(8);
+/// Longest time for a change that makes progress, e.g. one that writes every chunk to a slow store.
+const LONGEST: Duration = Duration::from_mins(1);
 
 /// A change asked for.
 #[derive(Debug)]
@@ -90,6 +92,8 @@
     pub(crate) retry_at: Instant,
     pub(crate) refuse_at: Instant,
     pub(crate) give_up_at: Instant,
+    /// Neither deadline is moved beyond this one.
+    pub(crate) end: Instant,
     /// Whether a compare-and-set was sent whose effect is not known.
     pub(crate) is_maybe_applied: bool,
     /// Whether the last compare-and-set was answered with a conflict.
@@ -138,6 +142,7 @@
             retry_at: cx.now,
             refuse_at: cx.now + REFUSE_AFTER,
             give_up_at: cx.now + GIVE_UP_AFTER,
+            end: cx.now + LONGEST,
             is_maybe_applied: false,
             had_conflict: false,
         };
@@ -155,6 +160,12 @@
         self.issue(cx);
     }
 
+    /// Moves the deadlines after a chunk was read or written.
+    pub(crate) fn made_progress(&mut self, now: Instant) {
+        self.refuse_at = self.end.min(now + REFUSE_AFTER);
+        self.give_up_at = self.end.min(now + GIVE_UP_AFTER);
+    }
+
     /// Plans to repeat the stage's operations.
     pub(crate) fn retry_later(&mut self, now: Instant) {
         self.retry_at = now + RETRY;
