--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -278,7 +278,7 @@
         rep.body["change"] = json!(change_name(job.change));
         let result = rep.body["error"].as_str().unwrap_or("error").to_owned();
         if matches!(job.edit, Edit::Withdraw(_)) && rep.status == 503 {
-            let body = json!({ "state": "in force, not yet stored", "reason": rep.body });
+            let body = json!({ "state": "in force, not yet stored", "reason": result });
             return self.answer(cx, job, "unstored", ApiRep { status: 202, body });
         }
         self.answer(cx, job, &result, rep);
