Measure the judgement and mend it at high load

Change: evidence of slowness is cut to 5 in a period and looks for a larger excess; the choice takes a server of the region's other data centres that is twice as cheap.

--- /dev/null
+++ b/crates/health/examples/measure/main.rs
@@ -0,0 +1,159 @@
+//! Measures the decision code against baselines on made-up traffic; prints CSV, writes the curve as SVG.
+//!
+//! `cargo run --release -p health --example measure [SVG]`
+
+mod scene;
+mod world;
+
+use std::error::Error;
+use std::time::Duration;
+
+use health::Knobs;
+use plotters::prelude::*;
+
+use scene::{SICK_MODES, SITES, Site, Trouble, WELL_MODES};
+use world::{Policy, Tally, World};
+
+/// Time before the trouble begins, and of the trouble.
+const CALM: Duration = Duration::from_secs(8);
+const SICK_TIME: Duration = Duration::from_secs(12);
+/// Runs of each sick mode, by seed.
+const SEEDS: u64 = 8;
+/// Length of a run in which nothing must be ejected.
+const WELL_TIME: Duration = Duration::from_mins(4);
+const LOADS: [f64; 3] = [0.4, 0.7, 0.9];
+/// Thresholds of the curve.
+const THRESHOLDS: [f64; 6] = [3.0, 5.0, 8.0, 12.0, 17.0, 23.0];
+const BASELINES: [(&str, Policy); 4] = [
+    ("health", Policy::Health),
+    ("consecutive", Policy::Consecutive),
+    ("least-in-flight", Policy::LeastInFlight),
+    ("round-robin", Policy::RoundRobin),
+];
+
+fn run(
+    seed: u64,
+    site: Site,
+    load: f64,
+    policy: Policy,
+    trouble: Trouble,
+    time: Duration,
+    knobs: Knobs,
+) -> Tally {
+    let mut world = World::new(seed, site, load, policy, trouble, CALM, knobs);
+    world.run(CALM + time);
+    world.tally
+}
+
+fn quantile(times: &[Duration], q: f64) -> f64 {
+    let index = ((times.len() as f64 * q).ceil() as usize).clamp(1, times.len()) - 1;
+    times[index].as_secs_f64()
+}
+
+fn sick_rows(site: Site, load: f64) {
+    for (mode, trouble) in SICK_MODES {
+        for (name, policy) in BASELINES {
+            let tallies: Vec<_> = (0..SEEDS)
+                .map(|s| run(s, site, load, policy, trouble, SICK_TIME, Knobs::default()))
+                .collect();
+            let mut times: Vec<_> = tallies.iter().filter_map(|t| t.detected).collect();
+            times.sort_unstable();
+            let missed = tallies.len() - times.len();
+            let shown = |q| if times.is_empty() { "-".into() } else { format!("{:.2}", quantile(&times, q)) };
+            let requests: u64 = tallies.iter().map(|t| t.requests).sum();
+            let harmed: u64 = tallies.iter().map(|t| t.harmed).sum();
+            let worst =
+                tallies.iter().flat_map(|t| t.by_customer).map(|(all, well)| well as f64 / all.max(1) as f64);
+            let wrong: u64 = tallies.iter().map(|t| t.false_ejections).sum();
+            let cross: u64 = tallies.iter().map(|t| t.cross_region_bytes).sum();
+            println!(
+                "{},{load},{mode},{name},{},{},{missed},{requests},{harmed},{:.5},{cross},{wrong}",
+                site.name,
+                shown(0.5),
+                shown(0.99),
+                worst.fold(1.0, f64::min)
+            );
+        }
+    }
+}
+
+fn well_rows(site: Site, load: f64) {
+    for (mode, trouble) in WELL_MODES {
+        let tally = run(1, site, load, Policy::Health, trouble, WELL_TIME, Knobs::default());
+        let hours = site.servers as f64 * WELL_TIME.as_secs_f64() / 3_600.0;
+        println!("well,{},{load},{mode},{hours:.2},{}", site.name, tally.false_ejections);
+    }
+}
+
+/// Median detection of a server that is slow by three, and false ejections in 1,000 server-hours without trouble.
+fn curve() -> Vec<(f64, f64, f64)> {
+    let site = SITES[0];
+    let point = |threshold| {
+        let knobs = Knobs { threshold, ..Knobs::default() };
+        let sick = |s| run(s, site, 0.7, Policy::Health, Trouble::Slow(3.0, 1.0), SICK_TIME, knobs);
+        let mut times: Vec<_> = (0..SEEDS).filter_map(|s| sick(s).detected).collect();
+        times.sort_unstable();
+        let well = run(1, site, 0.7, Policy::Health, Trouble::Nothing, WELL_TIME, knobs);
+        let hours = site.servers as f64 * WELL_TIME.as_secs_f64() / 3_600.0;
+        let median = if times.is_empty() { f64::NAN } else { quantile(&times, 0.5) };
+        (threshold, median, well.false_ejections as f64 * 1_000.0 / hours)
+    };
+    THRESHOLDS.map(point).to_vec()
+}
+
+fn plot(path: &str, points: &[(f64, f64, f64)]) -> Result<(), Box<dyn Error>> {
+    let root = SVGBackend::new(path, (720, 440)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let right = points.iter().map(|p| p.1).fold(1.0, f64::max) * 1.2;
+    let top = points.iter().map(|p| p.2).fold(1.0, f64::max) * 1.1;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("False ejections against detection time (quesada, load 0.7)", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(70)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart
+        .configure_mesh()
+        .x_desc("median time to ejection, slow x3 (s)")
+        .y_desc("false ejections per 1,000 server-hours")
+        .draw()?;
+    chart.draw_series(LineSeries::new(points.iter().map(|p| (p.1, p.2)), &BLUE))?;
+    for (threshold, x, y) in points {
+        let is_default = (threshold - Knobs::default().threshold).abs() < 0.1;
+        let (color, label) = if is_default {
+            (&RED, format!("{threshold} (default)"))
+        } else {
+            (&BLUE, threshold.to_string())
+        };
+        chart.draw_series([Circle::new((*x, *y), 4, color.filled())])?;
+        chart.draw_series([Text::new(label, (*x, *y + top * 0.03), ("sans-serif", 13))])?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!(
+        "site,load,mode,policy,detect_p50_s,detect_p99_s,missed,requests,harmed,worst_customer_good,cross_region_bytes,false_ejections"
+    );
+    std::thread::scope(|scope| {
+        for site in SITES {
+            scope.spawn(move || LOADS.iter().for_each(|load| sick_rows(site, *load)));
+        }
+    });
+    println!("well,site,load,mode,server_hours,false_ejections");
+    for site in SITES {
+        for load in LOADS {
+            well_rows(site, load);
+        }
+    }
+    let points = curve();
+    println!("curve,threshold,detect_p50_s,false_ejections_per_1000_server_hours");
+    for (threshold, detect, wrong) in &points {
+        println!("curve,{threshold},{detect:.2},{wrong:.1}");
+    }
+    if let Some(path) = std::env::args().nth(1) {
+        plot(&path, &points)?;
+    }
+    Ok(())
+}
--- a/crates/health/src/cusum.rs
+++ b/crates/health/src/cusum.rs
@@ -11,8 +11,10 @@
 const P0_MIN: f64 = 0.01;
 /// Highest background share at which a difference can still be stated.
 const P0_MAX: f64 = 0.7;
-/// Smallest excess over the background, as part of the rest to 1, that the test looks for.
-const EXCESS: f64 = 0.15;
+/// Smallest excess of bad answers over the background, as part of the rest to 1, that the test looks for.
+pub(crate) const BAD_EXCESS: f64 = 0.15;
+/// The same for slow answers; short queues at a busy server stay below it.
+pub(crate) const SLOW_EXCESS: f64 = 0.25;
 
 /// Evidence that fading may drop.
 const NOTHING: f64 = 0.5;
@@ -25,10 +27,10 @@
 }
 
 impl Ratio {
-    /// Makes the ratio for the background share `p0` among the other servers, 0 to 1.
-    pub fn against(p0: f64) -> Self {
+    /// Makes the ratio for the background share `p0` among the other servers and the excess, 0 to 1.
+    pub fn against(p0: f64, excess: f64) -> Self {
         let p0 = p0.clamp(P0_MIN, P0_MAX);
-        let p1 = p0 + EXCESS * (1.0 - p0);
+        let p1 = p0 + excess * (1.0 - p0);
         Self { hit: (p1 / p0).ln(), miss: ((1.0 - p1) / (1.0 - p0)).ln() }
     }
 
@@ -71,8 +73,15 @@
         }
     }
 
-    /// Ends a period: a sum below 0 starts anew.
-    pub fn settle(&mut self) {
+    /// Ends a period: its evidence is cut to `most`, and a sum below 0 starts anew.
+    ///
+    /// Samples of one period share one queue and are not independent; only evidence that lasts counts whole.
+    pub fn settle(&mut self, before: f64, most: f64) {
+        if self.sum - before > most {
+            let factor = (before + most) / self.sum;
+            self.sum *= factor;
+            self.parts.iter_mut().for_each(|p| p.ratio *= factor);
+        }
         if self.sum <= 0.0 {
             self.reset();
         }
--- a/crates/health/src/judge.rs
+++ b/crates/health/src/judge.rs
@@ -25,6 +25,8 @@
 const CENTRE_SAMPLES: f64 = 20.0;
 /// Part of the recent counts that each period keeps.
 const KEEP: f64 = 0.9;
+/// Most evidence of slowness in one period, so that a short queue ejects nobody.
+const MAX_SLOW: f64 = 5.0;
 /// Part of the evidence that a period without any digest on the server keeps.
 const KEEP_UNSEEN: f64 = 0.97;
 /// Longest hold of a server that flaps.
@@ -223,6 +225,7 @@
             let recent = if is_out { all } else { all.sub(case.recent) };
             let now = if is_out { all_now } else { all_now.sub(case.period) };
             let (bad, slow) = Counts::ratios(recent, now);
+            let before = (case.bad.sum(), case.slow.sum());
             let mut pending: Vec<_> = case.pending.drain().collect();
             pending.sort_by_key(|(observer, _)| *observer);
             for (observer, counts) in pending {
@@ -231,8 +234,8 @@
                 case.slow.add(observer, centre, slow.of(counts.slow, counts.total), counts.total);
                 case.trial.add(counts);
             }
-            case.bad.settle();
-            case.slow.settle();
+            case.bad.settle(before.0, f64::INFINITY);
+            case.slow.settle(before.1, MAX_SLOW);
             if case.period.total == 0.0 {
                 case.bad.fade(KEEP_UNSEEN);
                 case.slow.fade(KEEP_UNSEEN);
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -9,7 +9,7 @@
 use kernel::{Outcome, OutcomeKind, ServerCell};
 use wire::health::Evidence;
 
-use crate::cusum::Ratio;
+use crate::cusum::{BAD_EXCESS, Ratio, SLOW_EXCESS};
 use crate::histogram::Histogram;
 
 /// Answers up to this size are judged by their whole time, in bytes.
@@ -92,12 +92,12 @@
     /// trouble of the whole service speaks against nobody from its first period on.
     pub(crate) fn ratios(recent: Self, period: Self) -> (Ratio, Ratio) {
         let share = |hits, total, prior, weight| (hits + weight * prior) / (total + weight);
-        let background = |hits: fn(&Self) -> f64, prior| {
+        let background = |hits: fn(&Self) -> f64, prior, excess| {
             let before = share(hits(&recent), recent.total, prior, RECENT_PRIOR);
             let now = share(hits(&period), period.total, prior, PERIOD_PRIOR);
-            Ratio::against(f64::max(before, now))
+            Ratio::against(f64::max(before, now), excess)
         };
-        (background(|c| c.bad, PRIOR_BAD), background(|c| c.slow, PRIOR_SLOW))
+        (background(|c| c.bad, PRIOR_BAD, BAD_EXCESS), background(|c| c.slow, PRIOR_SLOW, SLOW_EXCESS))
     }
 }
 
--- a/crates/route/src/pick.rs
+++ b/crates/route/src/pick.rs
@@ -1,7 +1,8 @@
 //! Two random choices by health, requests in flight, latency and load, nearest first.
 //!
-//! A choice walks the service's servers twice and keeps nothing: the first walk finds the nearest
-//! distance with a sound server that has room, the second draws two of the servers up to that distance.
+//! A choice walks the service's servers a few times and keeps nothing: one walk finds the nearest distance
+//! with a sound server that has room, one draws two servers up to that distance, and one draws two of the
+//! region's other data centres, which win when they are much cheaper.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -26,6 +27,8 @@
 const LOAD_INFLUENCE: f32 = 0.5;
 /// Smallest latency that is told apart, in microseconds.
 const LATENCY_FLOOR_US: u32 = 200;
+/// How many times cheaper a server of the region's other data centres has to be.
+const NEXT_CENTRE_FACTOR: f32 = 2.0;
 /// Distance of a server in another region.
 const FARTHEST: u8 = 2;
 
@@ -61,7 +64,16 @@
     let near = servers.iter().filter(usable).filter(|s| is_near(s, want, limit));
     let only_sound = !want.repeatable && nearest.is_some();
     let drawn = near.filter(|s| !only_sound || weight(s, want.now) >= SOUND_WEIGHT);
-    two_choices(drawn, want.now, rng)
+    let best = two_choices(drawn, want.now, rng)?;
+    let beyond = servers.iter().filter(usable).filter(|s| is_beyond(s, want, limit));
+    let other = two_choices(beyond, want.now, rng);
+    let is_cheaper = |o: &&Arc<ServerView>| cost(o, best) * NEXT_CENTRE_FACTOR < cost(best, o);
+    Some(other.filter(is_cheaper).unwrap_or(best))
+}
+
+/// Sound servers of the region's other data centres, for when the own one is loaded.
+fn is_beyond(server: &ServerView, want: &Want<'_>, limit: u8) -> bool {
+    limit == 0 && distance(server, want.place) == 1 && weight(server, want.now) >= SOUND_WEIGHT
 }
 
 fn is_usable(server: &ServerView, want: &Want<'_>) -> bool {
