Wait for tokens that come within 250 ms instead of refusing

Cause: a daemon refused as over-rate when all aggregators were dry for a moment. Change: no verdict while the daemon's own yield brings the missing tokens in 250 ms.

--- a/crates/limit/examples/measure.rs
+++ b/crates/limit/examples/measure.rs
@@ -295,6 +295,12 @@
             }
         }
     }
+    let worst: Vec<_> = run
+        .ours
+        .iter()
+        .map(|c| c.by_customer.iter().map(|(i, g)| i.saturating_sub(*g)).collect::<Vec<_>>())
+        .collect();
+    println!("# {name}: ours, wrongful by customer, steady and after the fault: {worst:?}");
     let (over_rate, unconfirmed) = (run.refused_over_rate, run.refused_unconfirmed);
     println!("# {name}: ours refused {over_rate} as over-rate and {unconfirmed} as tokens-unconfirmed");
 }
--- a/crates/limit/src/taker.rs
+++ b/crates/limit/src/taker.rs
@@ -40,6 +40,10 @@
 const REPORT_BURST_PART: f64 = 0.01;
 /// Part of all shares that must stand behind the word that a customer is over its rate.
 const OVER_RATE_SHARES: f64 = 0.9;
+/// Tokens that come within this time are waited for instead of refusing the request.
+const SHORT_WAIT: Duration = Duration::from_millis(250);
+/// Part of the rate that a daemon without recent use expects to get.
+const LEAST_YIELD_PART: f64 = 0.1;
 /// Aggregators of one customer that are asked.
 const MAX_SOURCES: usize = LOTS - 2;
 
@@ -461,8 +465,9 @@
     }
     let dry = |s: &Source| s.dry.filter(|_| now < s.pause_until).map(|(shares, _)| f64::from(shares));
     let shares: f64 = active.sources.iter().filter_map(dry).sum();
-    if shares >= total * OVER_RATE_SHARES {
-        let wait = missing / f64::from(MILLI) / rate.max(f64::MIN_POSITIVE);
+    let wait = missing / f64::from(MILLI) / rate.max(f64::MIN_POSITIVE);
+    let wait_here = missing / f64::from(MILLI) / active.rate.max(rate * LEAST_YIELD_PART);
+    if shares >= total * OVER_RATE_SHARES && wait_here > SHORT_WAIT.as_secs_f64() {
         pool.set_over_rate(now + Duration::from_secs_f64(wait.min(3_600.0)));
         active.waiting = 0;
     }
