Give a shard's two slots different aggregators, and ask another after 80 ms

Cause: one daemon could aggregate both slots of a shard in its region, so its death took half of a customer's rights; requests waited as long for a dead aggregator as for tokens. Change: the second slot's owner is another daemon; a demand unanswered for 80 ms no longer counts as coming.

--- a/crates/limit/src/cells.rs
+++ b/crates/limit/src/cells.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Owner of each cell. The slots of a shard have different owners where there are two daemons or more.
 fn owners(ids: &[DaemonId]) -> Vec<DaemonId> {
-    (0..CELLS).filter_map(|cell| rendezvous::owner(&format!("limit/{cell}"), ids.iter().copied())).collect()
+    let mut owners = Vec::with_capacity(usize::from(CELLS));
+    for cell in 0..CELLS {
+        let taken = owners.len() - usize::from(cell % SLOTS);
+        let key = format!("limit/{cell}");
+        let free = ids.iter().copied().filter(|id| !owners[taken..].contains(id));
+        let owner = rendezvous::owner(&key, free).or_else(|| rendezvous::owner(&key, ids.iter().copied()));
+        owners.extend(owner);
+    }
+    owners
 }
--- a/crates/limit/src/taker.rs
+++ b/crates/limit/src/taker.rs
@@ -25,7 +25,9 @@
 /// Time without use after which a customer is forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 /// Time after which an unanswered demand is given up.
-const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+/// Time after which another aggregator is asked as well.
+const HEDGE_AFTER: Duration = Duration::from_millis(80);
 /// Time for which an aggregator that did not answer is left out.
 const SILENT_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which an aggregator without tokens is not asked again.
@@ -380,7 +382,8 @@
     };
     let now = around.now;
     let target = active.target(now, conf.rate, conf.burst);
-    let coming: f64 = active.sources.iter().filter_map(|s| s.pending).map(|p| f64::from(p.2)).sum();
+    let pending = active.sources.iter().filter_map(|s| s.pending);
+    let coming: f64 = pending.filter(|p| now < p.1 + HEDGE_AFTER).map(|p| f64::from(p.2)).sum();
     let have = active.held(now, pool) + coming;
     let enough = (target * LOW_WATER).max(active.waiting_at(now));
     let want = (target - have).ceil() as u32;
