Give unused tokens back after 200 ms

Cause: parts of tokens lay at daemons that had refused the request for them. Change: idle after 200 ms instead of 500; a daemon without use expects a quarter of the rate.

--- a/crates/limit/src/taker.rs
+++ b/crates/limit/src/taker.rs
@@ -21,7 +21,7 @@
 /// Held tokens are extended when they lapse within this time.
 const RENEW_BEFORE: Duration = Duration::from_millis(450);
 /// Time without use after which tokens are given back.
-const IDLE: Duration = Duration::from_millis(500);
+const IDLE: Duration = Duration::from_millis(200);
 /// Time without use after which a customer is forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 /// Time after which an unanswered demand is given up.
@@ -45,7 +45,7 @@
 /// Tokens that come within this time are waited for instead of refusing the request.
 const SHORT_WAIT: Duration = Duration::from_millis(250);
 /// Part of the rate that a daemon without recent use expects to get.
-const LEAST_YIELD_PART: f64 = 0.1;
+const LEAST_YIELD_PART: f64 = 0.25;
 /// Aggregators of one customer that are asked.
 const MAX_SOURCES: usize = LOTS - 2;
 
