--- a/crates/wire/src/health.rs
+++ b/crates/wire/src/health.rs
@@ -1,6 +1,6 @@
 //! Messages of health: evidence digests and ejection lists.
 
-use base::{ServerId, ServiceId};
+use base::{DaemonId, ServerId, ServiceId};
 use serde::{Deserialize, Serialize};
 
 /// What one daemon saw of one server since its last digest.
@@ -41,15 +41,19 @@
         /// Evidence on each server that had traffic.
         list: Vec<Evidence>,
     },
-    /// The coordinator suspects a server of the service and asks for frequent digests.
+    /// The coordinator suspects servers and asks for frequent digests and a second opinion.
     Watch {
         /// The service.
         service: ServiceId,
+        /// The suspected servers.
+        suspects: Vec<ServerId>,
     },
     /// The coordinator's ejection list; replaces its earlier one of the service.
     Ejections {
         /// The service.
         service: ServiceId,
+        /// Who made the list; the sender may pass on what another coordinator does not hear.
+        coordinator: DaemonId,
         /// Start of the coordinator's process; lists of an earlier start are dropped.
         incarnation: u64,
         /// Grows with each list of this coordinator.
