Test small fleets, hand-over and fencing of the shares

Cause: only the fuzzer went through them, and it checks over-admission alone. Change: 1 to 4 daemons without the store admit the whole rate; a stop hands over; the dead are fenced.

--- a/crates/limit/tests/exact.rs
+++ b/crates/limit/tests/exact.rs
@@ -7,6 +7,7 @@
 use common::Sim;
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 
 /// Daemons at most.
 const MOST: usize = 9;
@@ -231,3 +232,52 @@
     // Arranged so that the acknowledgement step decides: without it (feature `mutation`) this fails.
     assert_eq!(sim.over_admitted, 0);
 }
+
+#[rstest]
+#[case::sole(1)]
+#[case::pair(2)]
+#[case::three(3)]
+#[case::four(4)]
+fn a_small_fleet_admits_the_whole_rate_without_the_store(#[case] daemons: usize) {
+    let mut sim = start(daemons, 9);
+    sim.run_for(Duration::from_secs(9));
+    sim.fleet.platform.down = true;
+    flood(&mut sim, Duration::from_secs(20));
+    let before = sim.admitted;
+    flood(&mut sim, Duration::from_secs(10));
+    assert_eq!(sim.over_admitted, 0);
+    // As above: 59.5 tokens a second for 10 s, in requests of 1 token and some of 2.
+    assert!(sim.admitted - before > 480, "admitted {}", sim.admitted - before);
+}
+
+#[test]
+fn a_daemon_that_stops_hands_its_shares_over() {
+    let mut sim = start(4, 2);
+    sim.run_for(Duration::from_secs(9));
+    sim.fleet.stop(1);
+    sim.run_for(Duration::from_secs(15));
+    assert!(sim.fleet.is_finished(1), "the stop was not held up until its limit of 20 s");
+    assert!(!holders(&sim, 0).contains(&sim.fleet.me(1).id));
+}
+
+#[test]
+fn a_dead_daemon_is_fenced() {
+    let mut sim = start(4, 2);
+    sim.run_for(Duration::from_secs(9));
+    sim.fleet.crash(1);
+    sim.run_for(Duration::from_secs(20));
+    assert!(!holders(&sim, 0).contains(&sim.fleet.me(1).id));
+}
+
+#[test]
+fn fencing_an_address_without_shares_is_refused() {
+    let mut sim = start(3, 2);
+    sim.run_for(Duration::from_secs(9));
+    let rep = sim.fleet.ask(0, "POST", "/v1/fence/127.9.9.9:1", "");
+    assert_eq!(rep.map(|r| r.status), Some(404));
+}
+
+fn holders(sim: &Sim, at: usize) -> std::sync::Arc<[base::DaemonId]> {
+    let kernel = sim.fleet.kernel(at).expect("runs");
+    std::sync::Arc::clone(&kernel.board().holders)
+}
