Wait for the datagram socket's readiness before the first message

Cause: a new test hung: the first datagram after the start was dropped, because the socket's readiness had not been seen yet. Change: the start waits for it; tests of the transport over real sockets on system-given ports.

--- a/bins/pomelod/src/control.rs
+++ b/bins/pomelod/src/control.rs
@@ -114,7 +114,8 @@
     let store = HttpStore::new(settings.store, &sockets.peer.to_string(), STORE_TIMEOUT);
     let metrics = ControlMetrics::new(&control.registry);
     let peer_metrics = PeerMetrics::new(&control.registry);
-    let peers = Peers::start(settings.secret.clone(), sockets.udp, sockets.tcp, peer_metrics, inputs.clone());
+    let peers =
+        Peers::start(settings.secret.clone(), sockets.udp, sockets.tcp, peer_metrics, inputs.clone()).await;
     tokio::spawn(api::listen(sockets.api, calls, control.registry));
     let mut driver = Driver {
         kernel: control.kernel,
--- a/bins/pomelod/src/peer.rs
+++ b/bins/pomelod/src/peer.rs
@@ -118,13 +118,15 @@
 
 impl Peers {
     /// Starts receiving on both sockets.
-    pub fn start(
+    pub async fn start(
         secret: FleetSecret,
         udp: UdpSocket,
         tcp: TcpListener,
         metrics: PeerMetrics,
         inputs: mpsc::Sender<Input>,
     ) -> Self {
+        // A socket takes nothing without waiting until its readiness was seen once.
+        let _ = udp.writable().await;
         let udp = Arc::new(udp);
         let me = udp.local_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)));
         let receiver = Receiver { secret: secret.clone(), me, inputs, metrics: metrics.clone() };
@@ -222,3 +224,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peer_tests.rs"]
+mod peer_tests;
