--- a/bins/pomelod/src/control.rs
+++ b/bins/pomelod/src/control.rs
@@ -116,7 +116,7 @@
     let peer_metrics = PeerMetrics::new(&control.registry);
     let peers =
         Peers::start(settings.secret.clone(), sockets.udp, sockets.tcp, peer_metrics, inputs.clone()).await;
-    tokio::spawn(api::listen(sockets.api, calls, control.registry));
+    tokio::spawn(api::listen(sockets.api, calls, control.registry, Arc::clone(&control.shared)));
     let mut driver = Driver {
         kernel: control.kernel,
         shared: control.shared,
@@ -203,7 +203,7 @@
                     let _ = reply.send(rep);
                 }
             }
-            Output::Publish(view) => self.shared.view.store(view),
+            Output::Publish(view) => self.shared.publish(&view),
         }
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,8 +9,14 @@
 //! assert!(route::choose(&[], &want, &mut rng).is_none());
 //! ```
 
+pub mod budget;
+pub mod concurrency;
 pub mod link;
 pub mod pick;
+pub mod queue;
 
+pub use budget::Budget;
+pub use concurrency::Limit;
 pub use link::Link;
 pub use pick::{Want, choose};
+pub use queue::{FairQueue, Pushed};
