--- a/crates/health/src/judge.rs
+++ b/crates/health/src/judge.rs
@@ -16,6 +16,8 @@
 const OBSERVER_MEMORY: Duration = Duration::from_secs(15);
 /// Part of the evidence that must remain without the strongest observer.
 const SECOND_PART: f64 = 0.3;
+/// Part of the threshold from which a server is suspected.
+const SUSPICION_PART: f64 = 0.125;
 /// Factor on the threshold when a single daemon sees the service at all.
 const ALONE_FACTOR: f64 = 2.0;
 /// Samples with which an observer, or a data centre, can contradict the others.
@@ -23,6 +25,8 @@
 const CENTRE_SAMPLES: f64 = 20.0;
 /// Part of the recent counts that each period keeps.
 const KEEP: f64 = 0.9;
+/// Part of the evidence that a period without any digest on the server keeps.
+const KEEP_UNSEEN: f64 = 0.97;
 /// Longest hold of a server that flaps.
 const MAX_HOLD: Duration = Duration::from_mins(1);
 /// Time after a return in which a new ejection counts as flapping.
@@ -36,8 +40,9 @@
 const TRIAL_LIMIT: Duration = Duration::from_secs(10);
 /// Weights of the ramp after a trial, each for one step.
 const RAMP: [f32; 2] = [WORKING_WEIGHT, 0.75];
-/// Length of a step of the ramp.
-const RAMP_STEP: Duration = Duration::from_secs(2);
+/// Length of a step of the ramp. The whole ramp outlasts a list, so that its place under the floor is
+/// given to another server only when no daemon can still hold this one out.
+const RAMP_STEP: Duration = Duration::from_secs(3);
 
 /// The knob between detection time and false ejections.
 #[derive(Clone, Copy, Debug)]
@@ -166,10 +171,16 @@
         self.observers.keys()
     }
 
-    /// Whether any server is under suspicion, so that frequent digests are worth their bytes.
-    pub fn is_suspicious(&self) -> bool {
-        let suspicion = self.knobs.threshold / 8.0;
-        self.cases.values().any(|c| c.stage.is_some() || c.bad.sum().max(c.slow.sum()) > suspicion)
+    /// Servers with some evidence against them, on which other daemons' opinions are wanted.
+    pub fn suspects(&self) -> Vec<ServerId> {
+        let suspicion = self.knobs.threshold * SUSPICION_PART;
+        let is_suspect = |c: &Case| c.stage.is_none() && c.bad.sum().max(c.slow.sum()) > suspicion;
+        self.cases.iter().filter(|(_, c)| is_suspect(c)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether a server is on its way back, so that frequent digests are worth their bytes.
+    pub fn is_returning(&self) -> bool {
+        self.cases.values().any(|c| c.stage.is_some())
     }
 
     /// Ends a period.
@@ -222,6 +233,10 @@
             }
             case.bad.settle();
             case.slow.settle();
+            if case.period.total == 0.0 {
+                case.bad.fade(KEEP_UNSEEN);
+                case.slow.fade(KEEP_UNSEEN);
+            }
             case.recent.fade(KEEP);
         }
     }
@@ -234,7 +249,8 @@
         is_ready: &impl Fn(&ServerId) -> bool,
         changes: &mut Vec<Change>,
     ) {
-        let own = self.cases.iter().filter(|(id, c)| c.is_out() && is_ready(id) && !others.contains(id));
+        let own =
+            self.cases.iter().filter(|(id, c)| c.stage.is_some() && is_ready(id) && !others.contains(id));
         let mut room = budget.saturating_sub(own.count() + others.iter().filter(|id| is_ready(id)).count());
         let alone = self.observers.len() == 1;
         let threshold = self.knobs.threshold * if alone { ALONE_FACTOR } else { 1.0 };
@@ -252,8 +268,9 @@
         guilty.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         for (score, id) in guilty {
             let Some(case) = self.cases.get_mut(&id) else { continue };
-            if room > 0 && now >= self.not_before {
-                room -= 1;
+            let has_place = case.stage.is_some();
+            if (has_place || room > 0) && now >= self.not_before {
+                room -= usize::from(!has_place);
                 case.eject(now, &self.knobs, score);
                 changes.push(Change::Ejected(id, score));
             } else if room == 0 && !std::mem::replace(&mut case.told, true) {
