Answer a withdrawal as in force when too many changes wait

Cause: with 256 changes waiting a withdrawal was answered as refused although it was in force. Change: it is answered like any other withdrawal that is not stored yet. Measured: the new test fails before (503) and passes after (202).

--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -19,7 +19,7 @@
     pub(crate) fn enqueue(&mut self, cx: &mut Cx<'_>, job: Job) {
         if let Err(job) = self.commits.push(job) {
             let rep = ApiRep::error(503, "busy", "too many changes wait", "repeat the change later");
-            return self.answer(cx, &job, "busy", rep);
+            return self.fail(cx, &job, rep);
         }
         self.commits.start_next(cx);
     }
--- a/crates/sync/tests/fleet.rs
+++ b/crates/sync/tests/fleet.rs
@@ -163,3 +163,15 @@
     let rep = fleet.ask(0, "PUT", "/v1/config", &text).expect("an answer");
     assert_eq!(rep.status, 422, "{}", rep.body);
 }
+
+#[rstest]
+fn withdrawal_is_told_in_force_when_too_many_changes_wait() {
+    let mut fleet = fleet();
+    let key = give_key(&mut fleet);
+    fleet.platform.down = true;
+    for _ in 0..300 {
+        fleet.call(1, "PUT", "/v1/config", &source(20));
+    }
+    let rep = fleet.ask(1, "DELETE", "/v1/keys/k1", "").expect("an answer");
+    assert_eq!((rep.status, works(&fleet, 1, &key)), (202, false), "{}", rep.body);
+}
