--- a/crates/health/examples/measure/world.rs
+++ b/crates/health/examples/measure/world.rs
@@ -116,7 +116,8 @@
     pub tally: Tally,
 }
 
-fn view(n: usize, site: Site) -> Arc<ServerView> {
+/// A server's view at full weight.
+pub fn view(n: usize, site: Site) -> Arc<ServerView> {
     let info = ServerInfo {
         id: format!("s{n}").into(),
         service: "s".into(),
@@ -259,7 +260,7 @@
         request.server = server;
         request.sent = self.now;
         let trouble = if self.now >= self.trouble_at { self.trouble } else { Trouble::Nothing };
-        request.fate = trouble.fate(server, request.daemon, request.customer, &mut self.rng);
+        request.fate = trouble.fate(server, request.customer, &mut self.rng);
         if request.fate == Fate::Silent {
             let left = (request.arrived + DEADLINE).saturating_duration_since(self.now);
             self.requests.insert(id, request);
@@ -310,7 +311,8 @@
         let daemon = &mut self.daemons[request.daemon];
         let view = Arc::clone(&daemon.views[request.server]);
         view.cell.in_flight.fetch_sub(1, Relaxed);
-        let total = self.now - request.sent;
+        let lag = if self.now >= self.trouble_at { self.trouble.lag(request.daemon) } else { 1.0 };
+        let total = (self.now - request.sent).mul_f64(lag);
         if kind == OutcomeKind::Ok {
             view.cell.observe_latency(total.as_micros() as u32);
         }
