--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -6,16 +6,16 @@
 use base::{DaemonId, event};
 use kernel::{ApiRep, ApiReq, Area, AreaEntry, Cx, Event, Member, Setup, StoreToken, Ticket};
 use prometheus::{IntCounter, IntCounterVec};
-use rand::Rng;
 use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
 use smallvec::SmallVec;
-use store::{Row, StoreError, StoreOp, StoreRep};
+use store::{StoreError, StoreRep};
 use wire::Msg;
 use wire::member::{Beat, MemberInfo, MemberMsg, MemberState, Short, short};
 
-use crate::table::{Change, Pace, Table};
-use crate::{metrics, rows, targets};
+use crate::registration::{Registration, note_gone};
+use crate::table::{Change, Judged, Pace, Table};
+use crate::{metrics, targets};
 
 kernel::inventory::submit! {
     AreaEntry { name: "member", order: 10, build: |setup| Box::new(Roster::new(setup)) }
@@ -45,14 +45,6 @@
 const NEWS_ROUNDS: u8 = 4;
 /// Gap between ticks above which this process was paused.
 const PAUSE_GAP: Duration = Duration::from_millis(500);
-/// Interval between reads of the table while no other daemon is known.
-const READ_ALONE: Duration = Duration::from_secs(1);
-/// Interval between reads of the table otherwise, so that a fleet of 560 makes 9 reads a second.
-const READ_INTERVAL: Duration = Duration::from_mins(1);
-/// Interval between attempts to write the own row.
-const WRITE_RETRY: Duration = Duration::from_secs(5);
-/// Time after which the row of a daemon that ended without leaving is deleted.
-const STALE_ROW_AFTER: Duration = Duration::from_mins(10);
 /// Longest wait of a stopping daemon for the deletion of its row.
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 
@@ -64,16 +56,6 @@
     deadline: Instant,
 }
 
-/// What the store knows of this daemon's row.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum OwnRow {
-    Absent,
-    Writing(StoreToken),
-    Written(u64),
-    Deleting(StoreToken),
-    Deleted,
-}
-
 /// Counters of membership.
 #[derive(Debug)]
 struct Metrics {
@@ -104,13 +86,10 @@
     next_round: Option<Instant>,
     next_probe: Option<Instant>,
     next_contact: Option<Instant>,
-    next_read: Option<Instant>,
-    next_write: Option<Instant>,
     last_tick: Option<Instant>,
     news: Vec<(MemberInfo, u8)>,
     relays: Vec<Relay>,
-    row: OwnRow,
-    read: Option<StoreToken>,
+    registration: Registration,
     leave_deadline: Option<Instant>,
     metrics: Metrics,
 }
@@ -127,13 +106,10 @@
             next_round: None,
             next_probe: None,
             next_contact: None,
-            next_read: None,
-            next_write: None,
             last_tick: None,
             news: Vec::new(),
             relays: Vec::new(),
-            row: OwnRow::Absent,
-            read: None,
+            registration: Registration::default(),
             leave_deadline: None,
             metrics: Metrics::new(setup),
         }
@@ -153,6 +129,12 @@
     fn own_beat(&mut self, cx: &Cx<'_>) -> Beat {
         self.clock += 1;
         self.told = Self::facts(cx);
+        self.last_beat(cx)
+    }
+
+    /// The newest heartbeat of this daemon. It answers a probe: who probes has missed it, and a new one
+    /// would be spread to the whole fleet.
+    fn last_beat(&self, cx: &Cx<'_>) -> Beat {
         let me = &cx.board.me;
         let word = u32::from(cx.board.store_down);
         Beat { daemon: short(me.id, me.incarnation), clock: self.clock, word, vouched: cx.board.vouch_seq }
@@ -169,24 +151,32 @@
         let partners = self.partners(cx);
         self.spread_news(cx, &partners);
         let is_due = self.next_beat.is_none_or(|at| cx.now >= at) || self.told != Self::facts(cx);
+        let mut own = None;
         if is_due {
             let pace = Pace::new(cx.board.members.len() + 1);
             self.next_beat = Some(cx.now + pace.beat);
-            let beat = self.own_beat(cx);
-            let version = cx.board.version();
-            for to in &partners {
-                cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
-            }
+            own = Some(self.own_beat(cx));
         }
+        self.spread_beats(cx, &partners, own);
+    }
+
+    fn spread_beats(&mut self, cx: &mut Cx<'_>, partners: &[DaemonId], mut own: Option<Beat>) {
         if partners.is_empty() {
             return;
         }
         for _ in 0..MAX_BATCHES {
-            let (version, beats) = self.table.take_hot(partners.len(), MAX_BEATS);
+            let (newest, mut beats) = self.table.take_hot(partners.len(), MAX_BEATS - 1);
+            let mut version = newest;
+            if let Some(own) = own.take() {
+                version = newest.max(cx.board.version());
+                raise(&mut beats, version - newest);
+                let behind = (version - cx.board.version()).min(u64::from(u32::MAX >> 1)) as u32;
+                beats.push(Beat { word: own.word | behind << 1, ..own });
+            }
             if beats.is_empty() {
-                break;
+                return;
             }
-            for to in &partners {
+            for to in partners {
                 cx.send(*to, Msg::Member(MemberMsg::Beats { version, beats: beats.clone() }));
             }
         }
@@ -206,19 +196,27 @@
         self.news.retain(|(_, rounds)| *rounds > 0);
     }
 
-    fn probe(&mut self, cx: &mut Cx<'_>, overdue: &[DaemonId]) {
-        if overdue.is_empty() || self.next_probe.is_some_and(|at| cx.now < at) {
+    /// Probes members that are not heard in time; suspects by way of others too.
+    fn probe(&mut self, cx: &mut Cx<'_>, judged: &Judged) {
+        let is_quiet = judged.overdue.is_empty() && judged.suspect.is_empty();
+        if is_quiet || self.next_probe.is_some_and(|at| cx.now < at) {
             return;
         }
         self.next_probe = Some(cx.now + PROBE_INTERVAL);
-        let chosen: Vec<_> = overdue.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
-        let helpers: Vec<_> =
-            self.table.iter().filter(|p| p.info.state == MemberState::Alive).map(|p| p.info.id).collect();
-        for target in chosen {
+        let suspect: Vec<_> = judged.suspect.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
+        let overdue: Vec<_> = judged.overdue.choose_multiple(cx.rng, MAX_PROBES).copied().collect();
+        for target in suspect.iter().chain(&overdue) {
             self.metrics.probes.inc();
-            cx.send(target, Msg::Member(MemberMsg::Ping));
+            cx.send(*target, Msg::Member(MemberMsg::Ping));
+        }
+        if suspect.is_empty() {
+            return;
+        }
+        let alive = self.table.iter().filter(|p| p.info.state == MemberState::Alive);
+        let alive: Vec<_> = alive.map(|p| p.info.id).collect();
+        for target in suspect {
             let helpers: SmallVec<[DaemonId; HELPERS]> =
-                helpers.choose_multiple(cx.rng, HELPERS).copied().collect();
+                alive.choose_multiple(cx.rng, HELPERS).copied().collect();
             for helper in helpers {
                 cx.send(helper, Msg::Member(MemberMsg::PingReq { target }));
             }
@@ -271,6 +269,10 @@
             member.state = peer.info.state;
         }
         cx.board.vouched.insert(id, peer.vouched);
+    }
+
+    /// Passes the newest heartbeat of a probed daemon on to those that asked for the probe.
+    fn pass_on(&mut self, cx: &mut Cx<'_>, id: DaemonId) {
         let Some((version, beat)) = self.table.beat_of(id) else { return };
         for relay in self.relays.extract_if(.., |r| r.target == id) {
             cx.send(relay.asker, Msg::Member(MemberMsg::Beats { version, beats: vec![beat] }));
@@ -307,8 +309,8 @@
 
     fn judge(&mut self, cx: &mut Cx<'_>) {
         let pace = Pace::new(cx.board.members.len() + 1);
-        let (overdue, gone) = self.table.judge(cx.now, &pace);
-        for id in &overdue {
+        let judged = self.table.judge(cx.now, &pace);
+        for id in &judged.suspect {
             if let Some(member) = cx.board.members.get_mut(id)
                 && member.state == MemberState::Alive
             {
@@ -317,7 +319,7 @@
                 self.metrics.changes.with_label_values(&["suspect"]).inc();
             }
         }
-        for id in &gone {
+        for id in &judged.gone {
             event!(Warn, MemberDown, "daemon={id}");
             self.metrics.changes.with_label_values(&["down"]).inc();
             cx.board.vouched.remove(id);
@@ -325,11 +327,11 @@
                 cx.board.gone.insert(*id, member.place);
             }
         }
-        if !gone.is_empty() {
+        if !judged.gone.is_empty() {
             cx.emit(Event::MembersChanged);
             cx.publish();
         }
-        self.probe(cx, &overdue);
+        self.probe(cx, &judged);
     }
 
     fn take_update(&mut self, cx: &mut Cx<'_>, from: DaemonId, members: &[MemberInfo]) {
@@ -340,7 +342,7 @@
             let is_direct = info.id == from;
             let change = self.table.merge(cx.now, info, is_direct);
             if change == Change::None && info.state == MemberState::Dead {
-                self.note_gone(cx, info.id);
+                note_gone(cx, &self.table, info.id);
             }
             // Whoever introduces itself gets the whole table: it may know nobody else.
             if is_direct && matches!(change, Change::Up(_)) {
@@ -352,20 +354,11 @@
         }
     }
 
-    /// Counts a daemon that is known only by hearsay for majorities.
-    fn note_gone(&self, cx: &mut Cx<'_>, id: DaemonId) {
-        if let Some(peer) = self.table.get(id)
-            && peer.info.state == MemberState::Dead
-        {
-            cx.board.gone.insert(id, peer.info.place.clone());
-        }
-    }
-
     fn take_beats(&mut self, cx: &mut Cx<'_>, from: DaemonId, version: u64, beats: &[Beat]) {
         let me = short(cx.board.me.id, cx.board.me.incarnation);
         let mut wants = Vec::new();
         for beat in beats.iter().filter(|b| b.daemon != me) {
-            let change = self.table.beat(cx.now, beat, version);
+            let change = self.table.beat(cx.now, from, beat, version);
             if let Change::Unknown(name) = change
                 && wants.len() < MAX_WANTS
             {
@@ -373,6 +366,8 @@
             }
             self.apply(cx, change);
         }
+        // Any word of a probed daemon answers the probe, also when its heartbeat is known here.
+        self.pass_on(cx, from);
         if !wants.is_empty() {
             cx.send(from, Msg::Member(MemberMsg::Want { daemons: wants }));
         }
@@ -390,59 +385,6 @@
         }
     }
 
-    fn keep_row(&mut self, cx: &mut Cx<'_>) {
-        match self.row {
-            OwnRow::Absent if !cx.board.stopping && self.next_write.is_none_or(|at| cx.now >= at) => {
-                self.next_write = Some(cx.now + WRITE_RETRY);
-                self.row = OwnRow::Writing(cx.store(StoreOp::Commit(rows::register(&cx.board.me))));
-            }
-            OwnRow::Written(version) if cx.board.stopping => {
-                let commit = rows::delete(cx.board.me.id, version);
-                self.row = OwnRow::Deleting(cx.store(StoreOp::Commit(commit)));
-            }
-            _ => {}
-        }
-        let interval = if cx.board.members.is_empty() { READ_ALONE } else { READ_INTERVAL };
-        let is_due = self.next_read.is_none_or(|at| cx.now >= at || at > cx.now + interval * 2);
-        if is_due && self.read.is_none() && !cx.board.stopping {
-            self.next_read = Some(cx.now + interval.mul_f64(cx.rng.random_range(0.5..1.5)));
-            self.read = Some(cx.store(StoreOp::Range { prefix: rows::PREFIX.into() }));
-        }
-    }
-
-    fn take_rows(&mut self, cx: &mut Cx<'_>, list: &[(Box<str>, Row)]) {
-        let me = cx.board.me.id;
-        let mut present = BTreeSet::new();
-        for (key, row) in list {
-            let Some(info) = rows::parse(key, row) else { continue };
-            present.insert(info.id);
-            if info.id == me {
-                continue;
-            }
-            self.table.merge(cx.now, &info, false);
-            self.note_gone(cx, info.id);
-            self.clean(cx, info.id, row.version);
-        }
-        if !present.contains(&me) && matches!(self.row, OwnRow::Written(_)) {
-            self.row = OwnRow::Absent;
-        }
-        let absent: Vec<_> = cx.board.gone.keys().filter(|id| !present.contains(id)).copied().collect();
-        for id in absent {
-            cx.board.gone.remove(&id);
-            self.table.remove(id);
-        }
-    }
-
-    /// Deletes the row of a daemon that ended long ago; one living daemon is responsible for each row.
-    fn clean(&self, cx: &mut Cx<'_>, id: DaemonId, version: u64) {
-        let Some(peer) = self.table.get(id) else { return };
-        let is_stale = peer.info.state == MemberState::Dead && cx.now >= peer.heard + STALE_ROW_AFTER;
-        let owner = base::rendezvous::owner(&rows::key(id), cx.board.alive().into_iter());
-        if is_stale && owner == Some(cx.board.me.id) {
-            cx.store(StoreOp::Commit(rows::delete(id, version)));
-        }
-    }
-
     fn members_json(cx: &Cx<'_>) -> Value {
         let b = &cx.board;
         let me = json!({
@@ -460,6 +402,14 @@
     }
 }
 
+/// Counts heartbeats from a version that is higher by `by`.
+fn raise(beats: &mut [Beat], by: u64) {
+    let by = by.min(u64::from(u32::MAX >> 2)) as u32;
+    for beat in beats {
+        beat.word = beat.word.saturating_add(by << 1);
+    }
+}
+
 impl Area for Roster {
     fn name(&self) -> &'static str {
         "member"
@@ -479,7 +429,7 @@
         self.judge(cx);
         self.round(cx);
         self.contact(cx);
-        self.keep_row(cx);
+        self.registration.keep(cx);
         self.table.forget(cx.now);
     }
 
@@ -488,7 +438,7 @@
         match msg {
             MemberMsg::Ping => {
                 let version = cx.board.version();
-                let beats = vec![self.own_beat(cx)];
+                let beats = vec![self.last_beat(cx)];
                 cx.send(from, Msg::Member(MemberMsg::Beats { version, beats }));
             }
             MemberMsg::PingReq { target } => {
@@ -505,18 +455,7 @@
     }
 
     fn on_store(&mut self, cx: &mut Cx<'_>, token: StoreToken, res: &Result<StoreRep, StoreError>) {
-        if self.row == OwnRow::Writing(token) {
-            self.row = match res {
-                Ok(StoreRep::Committed { version }) => OwnRow::Written(*version),
-                _ => OwnRow::Absent,
-            };
-        } else if self.row == OwnRow::Deleting(token) {
-            self.row = OwnRow::Deleted;
-        } else if self.read.take_if(|t| *t == token).is_some()
-            && let Ok(StoreRep::Rows(rows)) = res
-        {
-            self.take_rows(cx, rows);
-        }
+        self.registration.on_store(cx, &mut self.table, token, res);
     }
 
     fn on_event(&mut self, cx: &mut Cx<'_>, event: &Event) {
@@ -525,7 +464,7 @@
             self.news.push((Self::me(cx), NEWS_ROUNDS));
             let partners = self.partners(cx);
             self.spread_news(cx, &partners);
-            self.keep_row(cx);
+            self.registration.keep(cx);
         }
     }
 
@@ -542,7 +481,7 @@
         json!({
             "alive": count(MemberState::Alive), "suspect": count(MemberState::Suspect),
             "gone": count(MemberState::Dead), "left": count(MemberState::Left),
-            "registered": matches!(self.row, OwnRow::Written(_)),
+            "registered": self.registration.is_written(),
         })
     }
 
@@ -552,6 +491,6 @@
             (Some(deadline), Some(now)) => now >= deadline,
             _ => false,
         };
-        is_late || (is_told && self.row == OwnRow::Deleted)
+        is_late || (is_told && self.registration.is_deleted())
     }
 }
--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -82,10 +82,12 @@
             (Stage::ReadVersion(_), Ok(StoreRep::Row(row))) => self.on_version(cx, work, row.as_ref()),
             (Stage::ReadChunks(root, mut chunks), Ok(StoreRep::Object(Some(bytes)))) => {
                 chunks.insert(digest(bytes), bytes.as_slice().into());
+                work.made_progress(cx.now);
                 self.on_old_chunks(cx, work, root, chunks)
             }
             (Stage::Put(plan), Ok(StoreRep::Stored)) => {
                 self.metrics.chunks("to-store", 1);
+                work.made_progress(cx.now);
                 let is_last = plan.todo.is_empty() && work.tokens.is_empty();
                 let stage = if is_last { Stage::Set(plan) } else { Stage::Put(plan) };
                 if is_last {
@@ -272,10 +274,11 @@
         self.answer(cx, job, "committed", ApiRep::ok(body));
     }
 
-    fn fail(&mut self, cx: &mut Cx<'_>, job: &Job, rep: ApiRep) {
+    fn fail(&mut self, cx: &mut Cx<'_>, job: &Job, mut rep: ApiRep) {
+        rep.body["change"] = json!(change_name(job.change));
         let result = rep.body["error"].as_str().unwrap_or("error").to_owned();
         if matches!(job.edit, Edit::Withdraw(_)) && rep.status == 503 {
-            let body = json!({ "state": "in force, not yet stored", "reason": rep.body });
+            let body = json!({ "state": "in force, not yet stored", "reason": result });
             return self.answer(cx, job, "unstored", ApiRep { status: 202, body });
         }
         self.answer(cx, job, &result, rep);
@@ -314,16 +317,17 @@
 }
 
 fn give_up(work: &Work) -> ApiRep {
-    let change = change_name(work.job.change);
-    let mut rep = if work.is_maybe_applied {
+    if work.is_maybe_applied {
+        let change = change_name(work.job.change);
         let problem = format!("the store does not say whether change {change} took effect");
         let remedy = "look for the change in `pomeloctl history` before you repeat it";
         ApiRep::error(503, "commit-unknown", &problem, remedy)
+    } else if matches!(work.stage, Stage::AwaitHead) {
+        let problem = "this daemon could not get the present version; the change was not made";
+        ApiRep::error(503, "not-current", problem, "repeat the change at another daemon")
     } else {
         store_down()
-    };
-    rep.body["change"] = json!(change);
-    rep
+    }
 }
 
 /// An operator's whole configuration, without the state of the fleet's keys.
