Let daemons that are stopping end before the world settles

Cause: the fuzz called a daemon not current that was still stopping when the faults ended (Resume 0, Stop 0). Change: settle waits for graceful stops and then restarts. Conclusion: a fault of the world, not of the daemons.

--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -202,6 +202,11 @@
         self.perform(&Op::StoreUp);
         for d in 0..self.fleet.daemons() {
             self.fleet.resume(d);
+        }
+        while !self.stopping.is_empty() {
+            self.run(STEP);
+        }
+        for d in 0..self.fleet.daemons() {
             self.restart(d);
         }
         for caller in &mut self.callers {
