Forget what others vouched for before a long pause

Cause: a daemon that woke after 9 s took its servers' state from before the pause: news of a drain went only to members believed alive, and repair of missed sets takes up to a second, while pulls make the view current within 40 ms. Change: freshness emits Woke with the length of the pause; the registry drops others' sets after a pause longer than an announcement holds and asks for them at once. Conclusion: a paused daemon is like a newcomer for everything that others told it.

--- a/crates/kernel/src/input.rs
+++ b/crates/kernel/src/input.rs
@@ -1,7 +1,7 @@
 //! Inputs and outputs of the kernel, and events between areas.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use base::DaemonId;
 use store::{Row, StoreError, StoreOp, StoreRep};
@@ -102,6 +102,11 @@
     ConfChanged,
     /// Board's servers changed.
     ServersChanged,
+    /// The process went on after a pause, or the instance after a suspension; emitted by freshness.
+    Woke {
+        /// Length of the pause.
+        gap: Duration,
+    },
     /// The daemon received a stop signal.
     Stopping,
 }
--- a/crates/limit/src/area.rs
+++ b/crates/limit/src/area.rs
@@ -372,7 +372,7 @@
                 self.with_taker(cx, |t, around| t.release(around.now, around.pools));
                 self.follow_members(cx);
             }
-            Event::ConfChanged | Event::ServersChanged => {}
+            Event::ConfChanged | Event::ServersChanged | Event::Woke { .. } => {}
         }
         self.finish(cx);
     }
--- a/crates/member/src/fresh.rs
+++ b/crates/member/src/fresh.rs
@@ -221,6 +221,7 @@
             self.pulls.clear();
             self.next_read = None;
             self.next_pull = None;
+            cx.emit(Event::Woke { gap: gap.max(wall_gap) });
         }
     }
 
@@ -413,7 +414,7 @@
             Event::Pulled { .. } => {
                 self.judge(cx);
             }
-            Event::ServersChanged | Event::Stopping => {}
+            Event::ServersChanged | Event::Stopping | Event::Woke { .. } => {}
         }
     }
 
--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -383,6 +383,16 @@
         }
     }
 
+    /// Forgets what others vouched for before a pause longer than an announcement holds, and asks for it
+    /// anew: what changed meanwhile was told to others only.
+    fn distrust(&mut self, cx: &mut Cx<'_>) {
+        let long_ago = cx.now.checked_sub(WANT_AGAIN).unwrap_or(cx.now);
+        self.wanted = cx.board.vouched.keys().map(|id| (*id, long_ago)).collect();
+        let forgotten = self.sets.forget_others(own_set(cx));
+        self.update(cx, &forgotten);
+        self.repair(cx);
+    }
+
     fn order(&mut self, cx: &mut Cx<'_>, id: &str, drained: bool) -> ApiRep {
         if drained && !cx.board.servers.contains_key(id) {
             let problem = format!("no server {id} is announced");
@@ -491,8 +501,10 @@
     }
 
     fn on_event(&mut self, cx: &mut Cx<'_>, event: &Event) {
-        if matches!(event, Event::MembersChanged) {
-            self.follow_members(cx);
+        match event {
+            Event::MembersChanged => self.follow_members(cx),
+            Event::Woke { gap } if gap.as_millis() >= u128::from(TTL_MS) => self.distrust(cx),
+            _ => {}
         }
     }
 
--- a/crates/member/src/vouch.rs
+++ b/crates/member/src/vouch.rs
@@ -137,6 +137,17 @@
         changed
     }
 
+    /// Drops all sets but one; returns their servers.
+    pub(crate) fn forget_others(&mut self, own: SetId) -> Vec<ServerId> {
+        let others: Vec<_> = self.ids().filter(|id| *id != own).collect();
+        let mut changed = Vec::new();
+        for id in others {
+            changed.extend(self.clear(id));
+            self.by_voucher.remove(&id);
+        }
+        changed
+    }
+
     fn insert(&mut self, id: SetId, server: ServerInfo) {
         self.vouchers.entry(server.id.clone()).or_default().insert(id);
         self.by_voucher.entry(id).or_default().servers.insert(server.id.clone(), server);
