--- a/crates/proof/examples/capacity.rs
+++ b/crates/proof/examples/capacity.rs
@@ -48,7 +48,10 @@
     let folder = PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "out/capacity".into()));
     std::fs::create_dir_all(&folder)?;
     let base = Size { daemons: 8, servers: 0, customers: 100 };
-    let by_daemons: Vec<_> = [4, 8, 16, 32, 60].map(|daemons| measure(Size { daemons, ..base })).into();
+    let mut daemons = vec![4, 8, 16, 32, 60, 120, 240];
+    // The target size takes minutes, so it is measured on request only.
+    daemons.extend(std::env::args().any(|a| a == "full").then_some(TARGET_DAEMONS as usize));
+    let by_daemons: Vec<_> = daemons.into_iter().map(|daemons| measure(Size { daemons, ..base })).collect();
     let by_servers: Vec<_> = [0, 100, 200, 400].map(|servers| measure(Size { servers, ..base })).into();
     let by_customers: Vec<_> =
         [100, 1_000, 4_000, 8_000].map(|customers| measure(Size { customers, ..base })).into();
