Ask callers to close for five seconds before idle connections are closed

Change: answers ask callers to close for 5 s; a connection that is in use at all is closed by agreement. Conclusion: HTTP/1.1 has no way to refuse a request on a connection that is closing; what remains is a caller that first uses a connection after more than 5 s in the very moment of its closing.

--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -19,7 +19,7 @@
 use crate::shared::Shared;
 
 /// Time after the stop signal in which answers ask callers to close, before idle connections are closed.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_secs(5);
 /// Longest time without a caller before a listener that stops counts as drained.
 const BACKLOG_WAIT: Duration = Duration::from_millis(20);
 /// Largest head of a request.
