Split two long files, bound a daemon's messages to itself, name pomeloctl's variable its own

Change: member::news and proof::cast; at most 4,096 own messages a turn, the rest in the next; POMELOCTL_API. Conclusion: none.

--- a/bins/pomeloctl/src/args.rs
+++ b/bins/pomeloctl/src/args.rs
@@ -30,7 +30,7 @@
   fence ADDR                          take the rate shares of a daemon that is gone
   drain ID                            take a backend server out of work
 
---api may be given as POMELO_API. --json prints the daemon's answer as JSON.
+--api may be given as POMELOCTL_API. --json prints the daemon's answer as JSON.
 Exit codes: 0 done, 1 refused, 2 wrong usage, 3 no daemon answers, 4 diff found differences,
 5 accepted but not in force everywhere within the wait.";
 
@@ -115,7 +115,7 @@
         return Ok(Args { api: None, json: false, command: Command::Help });
     }
     let json = args.contains("--json");
-    let api = option(&mut args, "--api")?.or_else(|| std::env::var("POMELO_API").ok()?.parse().ok());
+    let api = option(&mut args, "--api")?.or_else(|| std::env::var("POMELOCTL_API").ok()?.parse().ok());
     let base: Option<u64> = option(&mut args, "--base")?;
     let before: Option<u64> = option(&mut args, "--before")?;
     let expires: Option<u64> = option(&mut args, "--expires")?;
--- a/bins/pomeloctl/src/command.rs
+++ b/bins/pomeloctl/src/command.rs
@@ -55,7 +55,7 @@
 }
 
 fn api(args: &Args) -> Result<SocketAddr, Failure> {
-    let problem = "pomeloctl: no daemon named; give --api or POMELO_API, see pomeloctl --help";
+    let problem = "pomeloctl: no daemon named; give --api or POMELOCTL_API, see pomeloctl --help";
     args.api.ok_or_else(|| Failure(USAGE, problem.into()))
 }
 
--- a/crates/limit/src/area.rs
+++ b/crates/limit/src/area.rs
@@ -27,6 +27,8 @@
     AreaEntry { name: "limit", order: 50, build: |setup| Box::new(Limit::new(setup)) }
 }
 
+/// Messages of this daemon to itself that are handled in one turn.
+const MAX_OWN_MESSAGES: usize = 4_096;
 /// Longest time of a graceful stop that this area holds up.
 const STOP_LIMIT: Duration = Duration::from_secs(20);
 /// Interval of housekeeping.
@@ -268,7 +270,9 @@
 
     /// Handles messages to itself and publishes what others read.
     fn finish(&mut self, cx: &mut Cx<'_>) {
-        while let Some(msg) = self.outbox.pop() {
+        // What is left waits for the next input, so that areas never starve each other.
+        for _ in 0..MAX_OWN_MESSAGES {
+            let Some(msg) = self.outbox.pop() else { break };
             self.handle(cx, self.me, &msg);
         }
         let Some(rights) = &self.rights else {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod drains;
 mod metrics;
+mod news;
 mod proof;
 mod registration;
 mod rows;
--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -14,6 +14,7 @@
 
 use crate::announce;
 use crate::drains::Drains;
+use crate::news::{News, batch_msg};
 use crate::vouch::{SetId, Sets, Taken};
 use crate::{metrics, targets};
 
@@ -52,14 +53,6 @@
 /// Lapse of entries; they end with the vouching daemon's word or heartbeats, so this is never reached.
 const VOUCHED_LAPSE: Duration = Duration::from_hours(10 * 365 * 24);
 
-/// Something to pass on.
-#[derive(Clone, Debug)]
-enum News {
-    Delta(Delta),
-    Drain(Drain),
-    Loads(Loads),
-}
-
 /// Registry of one daemon.
 #[derive(Debug)]
 pub struct Servers {
@@ -429,18 +422,6 @@
     id == own_set(cx) || cx.board.members.get(&id.0).is_some_and(|m| m.incarnation == id.1)
 }
 
-fn batch_msg(batch: &[(News, u8)]) -> ServerMsg {
-    let (mut deltas, mut drains, mut loads) = (Vec::new(), Vec::new(), Vec::new());
-    for (news, _) in batch {
-        match news {
-            News::Delta(delta) => deltas.push(delta.clone()),
-            News::Drain(drain) => drains.push(drain.clone()),
-            News::Loads(list) => loads.push(list.clone()),
-        }
-    }
-    ServerMsg::Update { deltas, drains, loads }
-}
-
 fn is_due(next: &mut Option<Instant>, now: Instant, interval: Duration) -> bool {
     let is_due = next.is_none_or(|at| now >= at);
     if is_due {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(world.oracle.violations().is_empty());
 //! ```
 
+mod cast;
 pub mod op;
 pub mod oracle;
 pub mod world;
--- a/scripts/experiments/overhead.sh
+++ b/scripts/experiments/overhead.sh
@@ -8,7 +8,7 @@
     start "s$n" pomelo-server --id "s$n" --service bodega-docs --region meseta --data-centre paraiso \
         --daemon "$(addr d1 api)" --slots 64 --work-ms 2
 done
-export POMELO_API=$(addr d1 api)
+export POMELOCTL_API=$(addr d1 api)
 "$BIN/pomeloctl" apply scripts/sample.toml >/dev/null
 sleep 2
 servers=$(addr s1 listen)+$(addr s2 listen)+$(addr s3 listen)+$(addr s4 listen)
--- a/scripts/experiments/size.sh
+++ b/scripts/experiments/size.sh
@@ -34,7 +34,7 @@
 start store pomelo-store
 start_daemon 1
 start_daemon 2
-export POMELO_API=$(addr d1 api)
+export POMELOCTL_API=$(addr d1 api)
 sleep 1
 print_file >"$RUN_DIR/big.toml"
 first=$("$BIN/pomeloctl" --json apply "$RUN_DIR/big.toml" | tr -d '\n')
@@ -46,7 +46,7 @@
 busy=$(cpu_ms d2)
 for n in $(seq 10 29); do
     curl -sf -X PUT --data "{\"name\":\"customer-000$n\",\"rate\":$n,\"burst\":20}" \
-        "http://$POMELO_API/v1/customers/customer-000$n" >/dev/null
+        "http://$POMELOCTL_API/v1/customers/customer-000$n" >/dev/null
 done
 sleep 10
 busy=$(($(cpu_ms d2) - busy))
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -37,7 +37,7 @@
         start_server sacristia "$n"
         start_server bodega-docs "$n"
     done
-    export POMELO_API=$(addr d1 api)
+    export POMELOCTL_API=$(addr d1 api)
     "$BIN/pomeloctl" apply scripts/sample.toml >/dev/null
 }
 
