Keep the own entry of a server equal to what it announced last

Cause: a server that drained at another daemon and came back to its first one found the fleet's entry equal to its announcement, so the first daemon kept its own older entry, ready. When the other daemon's word lapsed 3 s later, that entry counted, until the next announcement. Change: an announcement changes nothing only if the own entry is equal too. Conclusion: entries that wait behind others must be as fresh as those in front.

--- a/crates/member/src/servers.rs
+++ b/crates/member/src/servers.rs
@@ -120,10 +120,10 @@
         let counts = self.sets.resolve(&id);
         let is_same = counts.is_some_and(|known| is_same_content(known, &info));
         let stamp = counts.map_or(0, |known| known.stamp);
-        let is_own = self.sets.get(own_set(cx)).is_some_and(|set| set.servers.contains_key(&id));
+        let own_entry = self.sets.get(own_set(cx)).and_then(|set| set.servers.get(&id));
         if info.state == ServerState::Gone {
             self.own.remove(&id);
-            if is_own {
+            if own_entry.is_some() {
                 info.stamp = cx.wall_ms.max(stamp + 1);
                 self.change(cx, info);
             }
@@ -131,7 +131,9 @@
         }
         self.own.insert(id, cx.now + Duration::from_millis(u64::from(TTL_MS)));
         info.ttl_ms = TTL_MS;
-        if is_same && is_own {
+        // The own entry counts as soon as others lapse, so it must be the announced one as well.
+        let is_own_same = own_entry.is_some_and(|own| is_same_content(own, &info));
+        if is_same && is_own_same {
             if let Some(entry) = cx.board.servers.get_mut(&info.id) {
                 entry.info.load = info.load;
             }
--- a/crates/member/tests/servers.rs
+++ b/crates/member/tests/servers.rs
@@ -136,3 +136,21 @@
         "slots":{slots},"connections":400,"load":{load},"state":"ready"}}"#
     )
 }
+
+#[rstest]
+fn a_server_that_drained_elsewhere_stays_drained_at_its_first_daemon() {
+    let mut fleet = settled(3, 3);
+    announce(&mut fleet, 0, "s1", "ready");
+    announce(&mut fleet, 1, "s1", "draining");
+    run(&mut fleet, 1);
+
+    // The second daemon's word lapses meanwhile.
+    let mut took_work = false;
+    for _ in 0..50 {
+        announce(&mut fleet, 0, "s1", "draining");
+        fleet.run_for(std::time::Duration::from_millis(100));
+        took_work |= (0..6).any(|d| takes_work(&fleet, d, "s1"));
+    }
+
+    assert!(!took_work);
+}
--- a/crates/proof/tests/found.rs
+++ b/crates/proof/tests/found.rs
@@ -29,3 +29,12 @@
 
     assert_eq!(violations, []);
 }
+
+#[rstest]
+fn a_server_that_drained_elsewhere_stays_drained_when_it_returns_to_a_woken_daemon() {
+    let ops = [Op::Drain(2), Op::Pause(2), Op::Run(Duration::from_millis(2_020))];
+
+    let violations = violations_after(&ops);
+
+    assert_eq!(violations, []);
+}
