--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -177,3 +177,7 @@
         self.stream.is_write_vectored()
     }
 }
+
+#[cfg(test)]
+#[path = "framing_tests.rs"]
+mod tests;
