Name the module of customers and servers in the fuzz by what it holds

Cause: 'cast' reads like a conversion of types. Change: proof::cast becomes proof::parties. Conclusion: none.

--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,9 +11,9 @@
 //! assert!(world.oracle.violations().is_empty());
 //! ```
 
-mod cast;
 pub mod op;
 pub mod oracle;
+mod parties;
 pub mod world;
 
 // Linked for their registration with the kernel.
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -13,9 +13,9 @@
 use serde_json::{Value, json};
 use wire::server::ServerState;
 
-use crate::cast::{Caller, Server, request};
 use crate::op::{Daemon, Op};
 use crate::oracle::{Offer, Oracle};
+use crate::parties::{Caller, Server, request};
 
 /// Places of the daemons, in turn.
 const PLACES: [(&str, &str); 5] = [
