--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -55,10 +55,15 @@
     605 ServerReturned "A backend server takes its full share again.";
     606 FloorReached "An ejection was held back because of the service's floor.";
     607 ServerAvoided "This daemon avoids a backend server on its own evidence.";
+    608 HeartbeatRefused "A heartbeat names no server that may be used.";
     701 RequestRefused "A request was refused.";
     702 RequestRetried "A request was sent to another server.";
     703 ConnectionSilent "A connection to a server made no progress and was closed.";
     704 CallerGone "The caller closed the connection before its answer was complete.";
+    705 RequestAnswered "A server's answer was returned.";
+    706 RequestFailed "An attempt at a request was declined or failed.";
+    801 SettingsReloaded "The settings were read again.";
+    802 LogDropped "Log lines were dropped because the writer was behind.";
 }
 
 /// Logs an event with its number: `event!(Info, ConfigApplied, "version={}", 7)`.
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -49,6 +49,8 @@
 refusals! {
     /// The request is malformed or ambiguous and is never forwarded, e.g. two lengths.
     BadRequest "bad-request" 400 No "send one well-formed HTTP request with a single body length";
+    /// The body is larger than the operators allow.
+    BodyTooLarge "body-too-large" 413 No "send a smaller body";
     /// No route matches host, path and method.
     NoRoute "no-route" 404 No "check host, path and method against `pomeloctl customers` and the routes";
     /// The route needs a key and the request has none.
--- a/crates/conf/src/compile.rs
+++ b/crates/conf/src/compile.rs
@@ -9,7 +9,7 @@
 use crate::error::ConfError;
 use crate::part::Part;
 use crate::shard::{Config, Digest};
-use crate::snapshot::{Route, Snapshot, first_segment};
+use crate::snapshot::{CallerLimits, Customer, Key, Route, Service, Snapshot, first_segment};
 use crate::source::Source;
 use crate::validate::{WHOLE, check_fleet, check_templates};
 
@@ -59,6 +59,40 @@
     }
 }
 
+/// Compiled pieces of a configuration that another system keeps in a format of its own.
+#[derive(Debug, Default)]
+pub struct Pieces {
+    /// Services.
+    pub services: Vec<Service>,
+    /// Customers.
+    pub customers: Vec<Customer>,
+    /// Keys.
+    pub keys: Vec<Key>,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
+}
+
+impl Pieces {
+    /// Validates the references between the pieces and joins them.
+    ///
+    /// # Errors
+    /// Fails on the first fault, with field and remedy.
+    pub fn into_snapshot(self, version: Version) -> Result<Snapshot, ConfError> {
+        let part = Part {
+            services: self.services.into_iter().map(Arc::new).collect(),
+            customers: self.customers.into_iter().map(Arc::new).collect(),
+            keys: self.keys.into_iter().map(Arc::new).collect(),
+            routes: self.routes.into_iter().map(Arc::new).collect(),
+            withdrawn: Vec::new(),
+        };
+        let mut snapshot = Snapshot { version, limits: self.limits, ..Snapshot::default() };
+        assemble(&mut snapshot, &[Arc::new(part)])?;
+        Ok(snapshot)
+    }
+}
+
 fn assemble(snapshot: &mut Snapshot, parts: &[Arc<Part>]) -> Result<(), ConfError> {
     for part in parts {
         for service in &part.services {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -31,9 +31,11 @@
 pub mod tree;
 pub(crate) mod validate;
 
-pub use compile::{Compiler, compile};
+pub use compile::{Compiler, Pieces, compile};
 pub use error::ConfError;
 pub use key::{KeyHash, KeyHasher};
 pub use locate::locate;
 pub use shard::{Config, Digest, Tombstone};
-pub use snapshot::{Customer, Dedupe, Fleet, Key, Repeat, Route, Service, Snapshot, StaleKeys};
+pub use snapshot::{
+    CallerLimits, Customer, Dedupe, Fleet, Key, Rank, Repeat, Route, Service, Snapshot, StaleKeys, Weighted,
+};
--- a/crates/conf/src/part.rs
+++ b/crates/conf/src/part.rs
@@ -8,7 +8,7 @@
 use crate::key::KeyHash;
 use crate::render::render;
 use crate::shard::Shard;
-use crate::snapshot::{Customer, Key, Route, Service};
+use crate::snapshot::{Customer, DEFAULT_ATTEMPTS, DEFAULT_RANK, Key, Route, Service};
 use crate::source::{KeySource, RouteSource, Template};
 use crate::tree::from_name;
 use crate::validate::{WHOLE, check_customer, check_route, check_service};
@@ -37,7 +37,8 @@
         }
         for c in &shard.customer {
             check_customer(c)?;
-            part.customers.push(Arc::new(Customer { name: c.name.clone(), rate: c.rate, burst: c.burst }));
+            let (name, rate, burst) = (c.name.clone(), c.rate, c.burst);
+            part.customers.push(Arc::new(Customer { name, rate, burst, rank: None }));
             let Some(name) = c.template.as_deref() else {
                 continue;
             };
@@ -60,6 +61,7 @@
 
 fn compile_route(r: &RouteSource) -> Result<Arc<Route>, ConfError> {
     check_route(r)?;
+    let timeout = Duration::from_millis(r.timeout_ms);
     Ok(Arc::new(Route {
         name: r.name.clone(),
         host: r.host.clone(),
@@ -69,9 +71,13 @@
         customer: r.customer.clone(),
         open: r.open,
         repeatable: r.repeatable,
-        timeout: Duration::from_millis(r.timeout_ms),
+        timeout,
         dedupe: r.dedupe,
         cost: r.cost,
+        objective: Route::default_objective(timeout),
+        attempts: DEFAULT_ATTEMPTS,
+        rank: DEFAULT_RANK,
+        split: Vec::new(),
     }))
 }
 
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -94,6 +94,51 @@
     pub rate: f64,
     /// Tokens that may be spent at once over all daemons together.
     pub burst: f64,
+    /// Rank of its requests, 0 the most urgent; goes before the rank of the route.
+    pub rank: Option<Rank>,
+}
+
+/// Urgency of a request; 0 is the most urgent.
+pub type Rank = u8;
+
+/// Rank of routes that state none.
+pub const DEFAULT_RANK: Rank = 1;
+/// Servers to which one request may be sent, for routes that state no number.
+pub const DEFAULT_ATTEMPTS: u32 = 3;
+/// Part of a route's timeout within which an answer is wanted, for routes that state no objective.
+const DEFAULT_OBJECTIVE_PART: u32 = 4;
+
+/// One of the services among which a route divides its requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Weighted {
+    /// Service.
+    pub service: ServiceId,
+    /// Its part of the requests, relative to the sum of all weights.
+    pub weight: u32,
+}
+
+/// What callers may send, and how long their connections may be slow or idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head of a request in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request in bytes.
+    pub body_bytes: usize,
+    /// Longest time in which a head may arrive.
+    pub head_timeout: Duration,
+    /// Longest time for which a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 64 * 1024 * 1024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
 }
 
 /// One route from callers to a service.
@@ -121,9 +166,47 @@
     pub dedupe: Dedupe,
     /// Tokens that one request takes.
     pub cost: u32,
+    /// Time within which an answer is wanted.
+    pub objective: Duration,
+    /// Servers to which one request may be sent at most.
+    pub attempts: u32,
+    /// Urgency.
+    pub rank: Rank,
+    /// Services among which requests are divided; empty: all go to `service`.
+    pub split: Vec<Weighted>,
 }
 
 impl Route {
+    /// The latency objective of a route that states only a timeout.
+    pub fn default_objective(timeout: Duration) -> Duration {
+        timeout / DEFAULT_OBJECTIVE_PART
+    }
+
+    /// Service for a request whose id hashes to `hash`: the same id always gets the same service.
+    pub fn service_for(&self, hash: u64) -> &ServiceId {
+        let total: u64 = self.split.iter().map(|part| u64::from(part.weight)).sum();
+        if total == 0 {
+            return &self.service;
+        }
+        let mut point = hash % total;
+        for part in &self.split {
+            let weight = u64::from(part.weight);
+            if point < weight {
+                return &part.service;
+            }
+            point -= weight;
+        }
+        &self.service
+    }
+
+    /// Whether a configuration lets requests of this route run at `service`.
+    pub fn may_use(&self, service: &str) -> bool {
+        if self.split.is_empty() {
+            return *self.service == *service;
+        }
+        self.split.iter().any(|part| *part.service == *service && part.weight > 0)
+    }
+
     /// Whether a request with this method may run more than once.
     pub fn is_repeatable(&self, method: &str) -> bool {
         match self.repeatable {
@@ -160,6 +243,8 @@
     pub customers: BTreeMap<CustomerId, Arc<Customer>>,
     /// Keys by hash.
     pub keys: HashMap<KeyHash, Arc<Key>>,
+    /// Bounds on what callers may send.
+    pub limits: CallerLimits,
     /// Withdrawn keys that this version carries. Invariant: none of them is in `keys`.
     pub withdrawn: HashSet<KeyHash>,
     /// Routes by first path segment; within each, longest prefix first and hosts before any host.
@@ -189,7 +274,10 @@
     path.trim_start_matches('/').split('/').next().unwrap_or("")
 }
 
+/// A prefix with a closing slash matches only paths that go on below it.
 fn prefix_matches(prefix: &str, path: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
+    if prefix.ends_with('/') {
+        return path.starts_with(prefix);
+    }
     path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,7 @@
 mod budgets;
 mod dedupe;
 mod explain;
-mod framing;
+pub mod framing;
 mod gate;
 pub mod hygiene;
 mod job;
--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cusum;
 pub mod explain;
 pub mod floor;
+pub mod gray;
 pub mod histogram;
 pub mod judge;
 pub mod lists;
@@ -22,4 +23,5 @@
 pub mod window;
 
 pub use area::Health;
+pub use gray::{GrayFilter, Shown};
 pub use judge::{Judge, Knobs};
--- a/crates/limit/examples/measure/slopes.rs
+++ b/crates/limit/examples/measure/slopes.rs
@@ -230,7 +230,7 @@
     snapshot.fleet.shares = shares as u32;
     for i in 0..active {
         let name: Box<str> = format!("c{i}").into();
-        let customer = conf::Customer { name: name.clone(), rate: RATE, burst: RATE };
+        let customer = conf::Customer { name: name.clone(), rate: RATE, burst: RATE, rank: None };
         snapshot.customers.insert(name, Arc::new(customer));
     }
     Arc::new(snapshot)
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -24,7 +24,9 @@
 mod outbox;
 mod rights;
 pub mod row;
+pub mod split;
 mod taker;
 mod times;
 
 pub use area::Limit;
+pub use split::{Split, Taken, Tolerance};
--- /dev/null
+++ b/crates/relay/src/clock.rs
@@ -0,0 +1,38 @@
+//! A clock that runs on while the instance is suspended; ages of proofs are counted on it.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+
+/// A moment, as the time since the instance was booted, suspensions included.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct BootTime(Duration);
+
+impl BootTime {
+    /// The present moment.
+    pub fn now() -> Self {
+        let time = clock_gettime(ClockId::Boottime);
+        Self(Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32))
+    }
+
+    /// A moment at this distance from the boot.
+    pub const fn at(since_boot: Duration) -> Self {
+        Self(since_boot)
+    }
+
+    /// Time since `earlier`; zero if that lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The moment that lies `age` before this one.
+    pub fn before(self, age: Duration) -> Self {
+        Self(self.0.saturating_sub(age))
+    }
+
+    /// The moment that lies `wait` after this one.
+    pub fn after(self, wait: Duration) -> Self {
+        Self(self.0 + wait)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exec.rs
@@ -0,0 +1,14 @@
+//! Runs hyper's tasks on the daemon's thread.
+
+/// Spawns tasks on the local set of the thread.
+#[derive(Clone, Copy, Debug)]
+pub struct LocalExec;
+
+impl<F> hyper::rt::Executor<F> for LocalExec
+where
+    F: Future + 'static,
+{
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(future);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/exit.rs
@@ -0,0 +1,471 @@
+//! The daemon beside a server: the only door to it.
+//!
+//! It alone decides what reaches the server: [`Registration`] tells whether it takes work, [`Dispatch`] in which
+//! order, [`GrayFilter`] whether it is thought to fail.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::{ServerId, event};
+use bytes::Bytes;
+use health::{GrayFilter, Shown};
+use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use route::Dispatch;
+use route::dispatch::{Offered, Pulled, Ticket, Work};
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, timeout_at};
+
+use crate::body::{Body, HOLD_BYTES, hold};
+use crate::handoff::{Order, Reason, Report, Verdict};
+use crate::names::Names;
+use crate::pool::{Conn, Pool};
+use crate::registration::{Born, Heartbeat, Noted, Registration};
+use crate::times::RunTimes;
+
+/// Longest idle time of a connection that carries a request which may run only once: the server may
+/// have closed it.
+const FRESH_FOR_ONCE: Duration = Duration::from_millis(500);
+/// Longest idle time of a connection for other requests; the server's own timeout bounds it too.
+const FRESH_FOR_REPEATABLE: Duration = Duration::from_secs(60);
+/// Pause after a failed connection before the server is tried again.
+const DOWN_PAUSE: Duration = Duration::from_millis(500);
+/// How many times its expected time a run takes before it counts as a failure.
+const OVERDUE_FACTOR: u32 = 5;
+/// Time past the deadline in which the server's own answer still counts.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// Slots of a server before its first heartbeat.
+const FIRST_SLOTS: usize = 1;
+
+#[derive(Debug)]
+struct State {
+    registration: Registration,
+    dispatch: Dispatch,
+    /// Those who wait for a slot; told whether they got it.
+    waiting: HashMap<Ticket, oneshot::Sender<bool>>,
+    gray: GrayFilter,
+    times: RunTimes,
+    /// Until when the server is not connected to.
+    down_until: Option<Instant>,
+    /// A run that tests the suspect server.
+    test: Option<Ticket>,
+}
+
+/// The server beside this daemon, and the work in front of it.
+#[derive(Debug)]
+pub struct Exit {
+    names: Rc<Names>,
+    pool: Pool,
+    state: RefCell<State>,
+    /// Set when the report has changed in a way that others should learn of at once.
+    changed: Cell<bool>,
+    is_stopping: Cell<bool>,
+}
+
+impl Exit {
+    /// Makes the exit to the server at `addr`.
+    pub fn new(names: Rc<Names>, addr: SocketAddr, now: Instant) -> Self {
+        let state = State {
+            registration: Registration::default(),
+            dispatch: Dispatch::new(FIRST_SLOTS),
+            waiting: HashMap::new(),
+            gray: GrayFilter::new(now),
+            times: RunTimes::default(),
+            down_until: None,
+            test: None,
+        };
+        let (changed, is_stopping) = (Cell::new(false), Cell::new(false));
+        Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, is_stopping }
+    }
+
+    /// Takes in a heartbeat of the server.
+    pub fn heartbeat(&self, heartbeat: Heartbeat, now: Instant) -> Noted {
+        let mut state = self.state.borrow_mut();
+        let (slots, draining) = (usize::from(heartbeat.slots), heartbeat.draining);
+        let (id, sequence, born) = (heartbeat.id.clone(), heartbeat.sequence, heartbeat.born);
+        let was_draining = state.registration.server().is_some_and(|s| s.heartbeat.draining);
+        let noted = state.registration.note(heartbeat, now);
+        match noted {
+            Noted::Registered => {
+                state.gray = GrayFilter::new(now);
+                state.times = RunTimes::default();
+                state.down_until = None;
+                self.pool.clear();
+                event!(Info, ServerAnnounced, "server={id} born={born} sequence={sequence} slots={slots}");
+            }
+            Noted::Updated => state.down_until = None,
+            Noted::Late | Noted::Outdated => {
+                event!(Debug, ServerAnnounced, "server={id} sequence={sequence} outcome=ignored ({noted:?})");
+                return noted;
+            }
+        }
+        state.dispatch.set_slots(slots);
+        if draining && !was_draining {
+            event!(Info, ServerLeaving, "server={id} born={born} sequence={sequence}");
+        }
+        self.changed.set(self.changed.get() || noted == Noted::Registered || draining != was_draining);
+        if draining {
+            send_away(&mut state);
+        }
+        pull(&mut state, now);
+        noted
+    }
+
+    /// Takes in that a server has left.
+    pub fn leave(&self, id: &str, wall_ms: Born) {
+        let mut state = self.state.borrow_mut();
+        if state.registration.leave(id, wall_ms) {
+            event!(Info, ServerLeaving, "server={id} outcome=left");
+            send_away(&mut state);
+            self.changed.set(true);
+        }
+    }
+
+    /// Whether the report has changed since the last call in a way that others should learn of at once.
+    pub fn take_changed(&self) -> bool {
+        self.changed.replace(false)
+    }
+
+    /// Takes no new work from now on.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+        send_away(&mut self.state.borrow_mut());
+    }
+
+    /// Requests that run or wait here.
+    pub fn load(&self) -> usize {
+        let state = self.state.borrow();
+        state.dispatch.running() + state.dispatch.waiting()
+    }
+
+    /// The registered server's service, if it takes work.
+    pub fn service(&self) -> Option<base::ServiceId> {
+        let state = self.state.borrow();
+        state.registration.server().map(|s| s.heartbeat.service.clone())
+    }
+
+    /// What others should know of the server.
+    pub fn report(&self, now: Instant) -> Report {
+        let state = self.state.borrow();
+        let takes_work = state.registration.server().is_some_and(|s| !s.heartbeat.draining);
+        let is_down = state.down_until.is_some_and(|until| now < until);
+        let suspect = is_down || state.gray.is_suspect(now);
+        let mean = state.times.mean().max(state.dispatch.longest_run(now) / 2);
+        Report {
+            takes_work: takes_work && !self.is_stopping.get(),
+            running: state.dispatch.running() as u16,
+            waiting: state.dispatch.waiting() as u16,
+            slots: state.dispatch.slots() as u16,
+            mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
+            suspect,
+            wants_tests: suspect && !is_down && state.test.is_none(),
+        }
+    }
+
+    /// Runs a request at the server.
+    ///
+    /// # Errors
+    /// Fails with what became of it instead.
+    pub async fn run(self: &Rc<Self>, order: &Order, req: Request<Bytes>) -> Result<Response<Body>, Verdict> {
+        let now = Instant::now();
+        let deadline = now + order.deadline_left;
+        let run = self.start(order, now, deadline).await?;
+        let fresh = if order.repeatable { FRESH_FOR_REPEATABLE } else { FRESH_FOR_ONCE };
+        let conn = match timeout_at(deadline.into(), self.pool.take(fresh)).await {
+            Ok(Ok(conn)) => conn,
+            Ok(Err(e)) => {
+                self.note_down(&e);
+                return Err(Verdict::declined(Reason::Unreachable));
+            }
+            Err(_late) => return Err(Verdict::declined(Reason::Unreachable)),
+        };
+        let asked = Instant::now();
+        let expected = self.state.borrow().times.expected(order.route_hash, order.objective_left);
+        let sent = Sent { order, run, conn, asked, expected, deadline };
+        sent.finish(req).await
+    }
+
+    async fn start(self: &Rc<Self>, order: &Order, now: Instant, deadline: Instant) -> Result<Run, Verdict> {
+        let (mut run, granted) = self.offer(order, now, deadline)?;
+        let Some(granted) = granted else {
+            return Ok(run);
+        };
+        match timeout_at(deadline.into(), granted).await {
+            Ok(Ok(true)) => {
+                run.started = Instant::now();
+                Ok(run)
+            }
+            Ok(Ok(false)) | Err(_) => Err(Verdict::declined(Reason::Busy)),
+            Ok(Err(_cleared)) => Err(Verdict::declined(Reason::Draining)),
+        }
+    }
+
+    /// Asks for a slot; the receiver, if any, tells when there is one.
+    fn offer(
+        self: &Rc<Self>,
+        order: &Order,
+        now: Instant,
+        deadline: Instant,
+    ) -> Result<(Run, Option<oneshot::Receiver<bool>>), Verdict> {
+        if self.is_stopping.get() {
+            return Err(Verdict::declined(Reason::Stopping));
+        }
+        let mut state = self.state.borrow_mut();
+        let server = state.registration.serving(&order.service).map_err(Verdict::declined)?;
+        let server = server.heartbeat.id.clone();
+        let is_down = state.down_until.is_some_and(|until| now < until);
+        let suspect = is_down || state.gray.is_suspect(now);
+        let may_test = order.repeatable && !is_down && state.test.is_none();
+        if suspect && !may_test && !order.insist {
+            return Err(Verdict::declined(Reason::Suspect));
+        }
+        let work = Work {
+            rank: order.rank,
+            nested: order.nested,
+            wanted_by: now + order.objective_left,
+            deadline,
+            expected: state.times.expected(order.route_hash, order.objective_left),
+        };
+        let (ticket, receiver) = match state.dispatch.offer(work, now) {
+            Offered::Started(ticket) => (ticket, None),
+            Offered::Waiting(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                state.waiting.insert(ticket, tx);
+                (ticket, Some(rx))
+            }
+            Offered::Declined { free_in } => {
+                return Err(Verdict::Declined { reason: Reason::Busy, free_in });
+            }
+        };
+        if suspect {
+            state.test = Some(ticket);
+        }
+        drop(state);
+        let exit = Rc::clone(self);
+        let run = Run {
+            exit,
+            ticket,
+            server,
+            started: now,
+            route_hash: order.route_hash,
+            conn: None,
+            keep_alive: None,
+        };
+        Ok((run, receiver))
+    }
+
+    fn note_down(&self, e: &std::io::Error) {
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        state.down_until = Some(now + DOWN_PAUSE);
+        state.gray.observe(Shown::Failure, now);
+        self.changed.set(true);
+        event!(Warn, ServerAvoided, "reason=unreachable error={e}");
+    }
+
+    fn observe(&self, shown: Shown, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let was_suspect = state.gray.is_suspect(now);
+        state.gray.observe(shown, now);
+        let is_suspect = state.gray.is_suspect(now);
+        if was_suspect == is_suspect {
+            return;
+        }
+        self.changed.set(true);
+        let failing = state.gray.failing(now);
+        let server = state.registration.server().map(|s| s.heartbeat.id.clone()).unwrap_or_default();
+        if is_suspect {
+            event!(Info, ServerAvoided, "server={server} failing={failing:.3} outcome=suspect");
+        } else {
+            event!(Info, ServerReturned, "server={server} failing={failing:.3} outcome=trusted");
+        }
+    }
+}
+
+/// A request at the server, and the slot that it holds.
+#[derive(Debug)]
+pub struct Run {
+    exit: Rc<Exit>,
+    ticket: Ticket,
+    server: ServerId,
+    started: Instant,
+    route_hash: u32,
+    conn: Option<Conn>,
+    keep_alive: Option<Duration>,
+}
+
+impl Run {
+    /// Ends the run: its answer is whole, or broke off.
+    pub fn finish(mut self, is_whole: bool, now: Instant) {
+        let shown = if is_whole { Shown::Success } else { Shown::Failure };
+        self.exit.observe(shown, now);
+        if let Some(conn) = self.conn.take().filter(|_| is_whole) {
+            self.exit.pool.put(conn, self.keep_alive, now);
+        }
+        if is_whole {
+            let took = now.saturating_duration_since(self.started);
+            self.exit.state.borrow_mut().times.add(self.route_hash, took);
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut state = self.exit.state.borrow_mut();
+        state.dispatch.remove(self.ticket);
+        state.waiting.remove(&self.ticket);
+        if state.test == Some(self.ticket) {
+            state.test = None;
+        }
+        pull(&mut state, Instant::now());
+    }
+}
+
+/// A request that has its slot and its connection.
+#[derive(Debug)]
+struct Sent<'a> {
+    order: &'a Order,
+    run: Run,
+    conn: Conn,
+    asked: Instant,
+    expected: Duration,
+    deadline: Instant,
+}
+
+impl Sent<'_> {
+    async fn finish(mut self, mut req: Request<Bytes>) -> Result<Response<Body>, Verdict> {
+        let exit = Rc::clone(&self.run.exit);
+        let id = req.headers().get(&exit.names.request_id).cloned();
+        set_headers(req.headers_mut(), &exit.names, self.order, &self.run.server, self.deadline);
+        let rep = self.head(req.map(Full::new)).await?;
+        if rep.headers().contains_key(&exit.names.not_run) || rep.status() == StatusCode::MISDIRECTED_REQUEST
+        {
+            exit.observe(Shown::Failure, Instant::now());
+            return Err(Verdict::declined(Reason::Shed));
+        }
+        let is_own = rep.headers().get(&exit.names.request_id) == id.as_ref();
+        let is_signed = rep.headers().contains_key(&exit.names.signature);
+        if !is_own || (rep.status().is_success() && !is_signed) {
+            exit.observe(Shown::Failure, Instant::now());
+            return Err(Verdict::Broken);
+        }
+        self.body(rep).await
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn head(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Verdict> {
+        let exit = Rc::clone(&self.run.exit);
+        let patience = (self.expected * OVERDUE_FACTOR).max(self.order.objective_left);
+        let mut answered = std::pin::pin!(self.conn.sender().send_request(req));
+        let overdue = self.asked + patience;
+        let last = self.deadline + DEADLINE_SLACK;
+        if let Ok(rep) = timeout_at(overdue.min(last).into(), answered.as_mut()).await {
+            return rep.map_err(|_broken| broken(&exit));
+        }
+        if overdue < last {
+            exit.observe(Shown::Failure, Instant::now());
+            let is_suspect = exit.state.borrow().gray.is_suspect(Instant::now());
+            if self.order.repeatable && is_suspect {
+                return Err(Verdict::Overdue);
+            }
+        }
+        tokio::select! {
+            rep = answered => rep.map_err(|_broken| broken(&exit)),
+            () = sleep_until(last.into()) => {
+                if overdue >= last {
+                    exit.observe(Shown::Failure, Instant::now());
+                }
+                Err(Verdict::Overdue)
+            }
+        }
+    }
+
+    /// Holds a small body until it is whole; passes a large one on.
+    async fn body(self, rep: Response<Incoming>) -> Result<Response<Body>, Verdict> {
+        let Self { mut run, conn, deadline, .. } = self;
+        let exit = Rc::clone(&run.exit);
+        let (mut parts, body) = rep.into_parts();
+        run.keep_alive = keep_alive(&parts.headers);
+        edge::hygiene::clean_answer(&mut parts.headers);
+        parts.headers.remove(&exit.names.server_load);
+        let is_small = body.size_hint().upper().is_none_or(|bytes| bytes <= HOLD_BYTES);
+        if !is_small {
+            run.conn = Some(conn);
+            return Ok(Response::from_parts(parts, Body::Passing(body, Some(run))));
+        }
+        let limit = usize::MAX;
+        let held = timeout_at((deadline + DEADLINE_SLACK).into(), hold(body, limit)).await;
+        let Ok(Ok(bytes)) = held else {
+            return Err(broken(&exit));
+        };
+        let now = Instant::now();
+        if parts.status.is_server_error() {
+            exit.observe(Shown::Failure, now);
+            exit.pool.put(conn, run.keep_alive, now);
+        } else {
+            run.conn = Some(conn);
+            run.finish(true, now);
+        }
+        Ok(Response::from_parts(parts, Body::whole(bytes)))
+    }
+}
+
+fn broken(exit: &Exit) -> Verdict {
+    exit.observe(Shown::Failure, Instant::now());
+    Verdict::Broken
+}
+
+fn set_headers(headers: &mut HeaderMap, names: &Names, order: &Order, server: &str, deadline: Instant) {
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
+    headers.remove(&names.customer);
+    let mut set = |name, text: &str| {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    };
+    set(names.expected_server.clone(), server);
+    set(names.caller_service.clone(), &order.caller_service);
+    if let Some(customer) = &order.customer {
+        set(names.customer.clone(), customer);
+    }
+}
+
+/// The idle timeout that a server states, in whole seconds.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = stated.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// Tells all who wait that the server takes no more work; they may go elsewhere.
+fn send_away(state: &mut State) {
+    for ticket in state.dispatch.clear_waiting() {
+        state.waiting.remove(&ticket);
+    }
+}
+
+/// Gives free slots to those who wait.
+fn pull(state: &mut State, now: Instant) {
+    loop {
+        let pulled = state.dispatch.pull(now);
+        if pulled.is_empty() {
+            return;
+        }
+        for each in pulled {
+            let (ticket, has_slot) = match each {
+                Pulled::Start(ticket) => (ticket, true),
+                Pulled::Hopeless(ticket) => (ticket, false),
+            };
+            let told = state.waiting.remove(&ticket).is_some_and(|tx| tx.send(has_slot).is_ok());
+            if has_slot && !told {
+                state.dispatch.remove(ticket);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Counters and histograms of one daemon.
+
+use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+
+/// Bounds of latency buckets in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0];
+
+/// Counters of one daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests of callers.
+    pub requests: IntCounter,
+    /// Requests that this daemon answered itself, by reason.
+    pub refusals: IntCounterVec,
+    /// Hand-offs that were declined, by reason.
+    pub declines: IntCounterVec,
+    /// Further tries, by reason.
+    pub retries: IntCounterVec,
+    /// Callers that left before their answer.
+    pub cancelled: IntCounter,
+    /// Time from request to answer.
+    pub seconds: Histogram,
+    /// Log lines that were dropped because the writer was behind.
+    pub log_dropped: IntCounter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let made = IntCounter::new(name, help).expect("the name is a valid metric name");
+            registry.register(Box::new(made.clone())).expect("the name is registered once");
+            made
+        };
+        let by_reason = |name: &str, help: &str| {
+            let made = IntCounterVec::new(Opts::new(name, help), &["reason"]);
+            let made = made.expect("the name is a valid metric name");
+            registry.register(Box::new(made.clone())).expect("the name is registered once");
+            made
+        };
+        let opts = HistogramOpts::new("pomelo_request_seconds", "Time from request to answer.");
+        let seconds = Histogram::with_opts(opts.buckets(LATENCY_BOUNDS_S.to_vec()));
+        let seconds = seconds.expect("the bounds ascend");
+        registry.register(Box::new(seconds.clone())).expect("the name is registered once");
+        Self {
+            requests: counter("pomelo_requests_total", "Requests of callers."),
+            refusals: by_reason("pomelo_refusals_total", "Requests that the daemon answered itself."),
+            declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
+            retries: by_reason("pomelo_retries_total", "Further tries of requests."),
+            cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
+            log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
+            seconds,
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics in the text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut out = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::error!("metrics can't be encoded: {e}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,247 @@
+//! State of one daemon, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::{DaemonId, Place, ServiceId, Version, event};
+use conf::{KeyHasher, Snapshot};
+use limit::{Split, Tolerance};
+use route::Budget;
+use tokio::sync::{Notify, watch};
+
+use crate::clock::BootTime;
+use crate::entry::AnswerSizes;
+use crate::exit::Exit;
+use crate::freshness::Freshness;
+use crate::gossip::Gossip;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::names::Names;
+use crate::peers::{Incarnation, Peers, Status};
+
+/// Retries that a service's budget holds at first.
+const BUDGET_RESERVE: u32 = 1;
+/// Retries that a service's budget holds at most.
+const BUDGET_CAP: u32 = 6;
+
+/// Fixed facts of one daemon.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Address for datagrams and hand-offs.
+    pub addr: DaemonId,
+    /// Process.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub place: Place,
+    /// Service whose instance this is; requests that begin here are its.
+    pub service: ServiceId,
+}
+
+/// Bounds that operators state for the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest age of a proof with which keys are judged.
+    pub proof_age: Duration,
+    /// Longest time for a graceful stop.
+    pub grace: Duration,
+    /// Tokens by which a customer may pass its rate.
+    pub rate_tolerance: Tolerance,
+}
+
+/// State of one daemon.
+#[derive(Debug)]
+pub struct Node {
+    /// Fixed facts.
+    pub me: Me,
+    /// Names of headers.
+    pub names: Rc<Names>,
+    /// Bounds.
+    pub bounds: Bounds,
+    /// The server beside this daemon.
+    pub exit: Rc<Exit>,
+    /// Other daemons.
+    pub peers: RefCell<Peers>,
+    /// Connections to them.
+    pub links: Links,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Hashes callers' keys.
+    pub hasher: KeyHasher,
+    /// Configuration in force; tasks that wait for one are woken.
+    pub snapshot: watch::Sender<Option<Arc<Snapshot>>>,
+    /// Woken when the status should be sent at once.
+    pub urgent: Notify,
+    /// Woken when another daemon knows a newer configuration, or proofs have become old.
+    pub stale: Notify,
+    /// Woken when tokens or proofs come in.
+    pub refilled: Notify,
+    pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) split: RefCell<Split>,
+    pub(crate) answer_sizes: RefCell<AnswerSizes>,
+    /// Set once datagrams can be sent.
+    pub(crate) gossip: RefCell<Option<Rc<Gossip>>>,
+    budgets: RefCell<HashMap<ServiceId, Budget>>,
+    is_stopping: Cell<bool>,
+    callers: Cell<usize>,
+}
+
+impl Node {
+    /// Makes the state of a daemon that knows nothing yet.
+    pub fn new(
+        me: Me,
+        names: Rc<Names>,
+        bounds: Bounds,
+        exit: Rc<Exit>,
+        hasher: KeyHasher,
+        metrics: Metrics,
+    ) -> Self {
+        let peers = Peers::new(me.addr, me.place.clone());
+        Self {
+            names,
+            exit,
+            peers: RefCell::new(peers),
+            links: Links::default(),
+            metrics,
+            hasher,
+            snapshot: watch::Sender::new(None),
+            urgent: Notify::new(),
+            stale: Notify::new(),
+            refilled: Notify::new(),
+            freshness: RefCell::default(),
+            split: RefCell::new(Split::new(bounds.rate_tolerance, 1)),
+            answer_sizes: RefCell::default(),
+            gossip: RefCell::default(),
+            budgets: RefCell::default(),
+            is_stopping: Cell::new(false),
+            callers: Cell::new(0),
+            bounds,
+            me,
+        }
+    }
+
+    /// The configuration in force.
+    pub fn conf(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot.borrow().clone()
+    }
+
+    /// Version in force; 0 if none.
+    pub fn version(&self) -> Version {
+        self.snapshot.borrow().as_ref().map_or(0, |s| s.version)
+    }
+
+    /// Puts a configuration in force unless a newer one is; `proven_at` is when it was the newest.
+    pub fn adopt(&self, snapshot: Snapshot, proven_at: BootTime) {
+        let version = snapshot.version;
+        let is_newer = self.snapshot.borrow().as_ref().is_none_or(|old| old.version < version);
+        if is_newer {
+            self.split.borrow_mut().set_rates(&snapshot, Instant::now());
+            event!(Info, ConfigApplied, "version={version} routes={}", snapshot.routes().count());
+            self.snapshot.send_replace(Some(Arc::new(snapshot)));
+            self.urgent.notify_one();
+        }
+        self.freshness.borrow_mut().adopt(version, proven_at);
+        self.refilled.notify_waiters();
+    }
+
+    /// Takes in that the version in force was still the newest at `proven_at`.
+    pub fn confirm(&self, version: Version, proven_at: BootTime) {
+        self.freshness.borrow_mut().confirm(version, proven_at);
+        self.refilled.notify_waiters();
+    }
+
+    /// Whether keys may be judged.
+    pub fn is_fresh(&self) -> bool {
+        self.freshness.borrow().is_fresh(BootTime::now(), self.bounds.proof_age)
+    }
+
+    /// Age of the proof that the configuration in force is the newest.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.freshness.borrow().age(BootTime::now())
+    }
+
+    /// Whether this daemon takes callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.snapshot.borrow().is_some()
+    }
+
+    /// Whether a stop was asked for.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.get()
+    }
+
+    /// Starts a graceful stop.
+    pub fn stop(&self) {
+        self.is_stopping.set(true);
+        self.urgent.notify_one();
+    }
+
+    /// Divides rates by the present number of daemons.
+    pub fn count_members(&self) {
+        let now = Instant::now();
+        let members = self.peers.borrow().members(now);
+        self.split.borrow_mut().set_daemons(members, self.conf().as_deref(), now);
+    }
+
+    /// Requests of callers that are being served.
+    pub fn callers(&self) -> usize {
+        self.callers.get()
+    }
+
+    pub(crate) fn count_caller(self: &Rc<Self>) -> CallerCount {
+        self.callers.set(self.callers.get() + 1);
+        CallerCount(Rc::clone(self))
+    }
+
+    /// Counts a first try towards the retries that the service may get.
+    pub(crate) fn earn_retry(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        match budgets.get_mut(service) {
+            Some(budget) => budget.earn(),
+            None => {
+                budgets.insert(service.into(), Budget::new(BUDGET_RESERVE, BUDGET_CAP));
+            }
+        }
+    }
+
+    /// Whether one more try at the service is covered; spends its price.
+    pub(crate) fn spend_retry(&self, service: &str, reason: base::RetryReason) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        let covered = budgets.get_mut(service).is_some_and(|b| b.spend(reason));
+        if covered {
+            self.metrics.retries.with_label_values(&[reason.code()]).inc();
+        }
+        covered
+    }
+
+    /// Status for the daemon at `to`.
+    pub fn status(&self, to: &DaemonId, wants_answer: bool) -> Status {
+        let now = Instant::now();
+        let mut report = self.exit.report(now);
+        report.takes_work &= !self.is_stopping.get();
+        Status {
+            incarnation: self.me.incarnation,
+            place: self.me.place.clone(),
+            service: self.exit.service().or_else(|| Some(self.me.service.clone())),
+            report,
+            version: self.version(),
+            proof_age: self.proof_age(),
+            sent_at: BootTime::now(),
+            echo: self.peers.borrow().said_at(to),
+            hears_you: self.peers.borrow().is_heard(to, now),
+            wants_answer,
+        }
+    }
+}
+
+/// Counts a request while it is served.
+#[derive(Debug)]
+pub(crate) struct CallerCount(Rc<Node>);
+
+impl Drop for CallerCount {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,296 @@
+//! What this daemon knows of the others. Sans-I/O.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base::{CustomerId, DaemonId, Place, ServiceId, Version};
+use route::place::{Candidate, Distance, Load};
+use serde::{Deserialize, Serialize};
+
+use crate::clock::BootTime;
+use crate::handoff::Report;
+
+/// Silence after which a daemon of the region is not given work.
+const SILENT_AFTER: Duration = Duration::from_millis(1_600);
+/// Silence after which a daemon of the region no longer counts as a member.
+const GONE_AFTER: Duration = Duration::from_secs(30);
+/// Pause after a failed hand-off before a daemon is tried again.
+const PATH_PAUSE: Duration = Duration::from_millis(1_500);
+/// Mean run of a server of which no report is known.
+const UNKNOWN_RUN: Duration = Duration::from_millis(400);
+/// Slots of a server of which no report is known.
+const UNKNOWN_SLOTS: u32 = 4;
+
+/// Start of a daemon's process in wall-clock milliseconds; tells processes on one address apart.
+pub type Incarnation = u64;
+
+/// A message between daemons, in one datagram.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Datagram {
+    /// State of the sender.
+    Status(Status),
+    /// Asks for tokens of a customer.
+    Ask(CustomerId),
+    /// Gives tokens of a customer away.
+    Gift(CustomerId, f64),
+}
+
+/// State of a daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Process that speaks.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub place: Place,
+    /// Service of the server beside it, if one is registered.
+    pub service: Option<ServiceId>,
+    /// State of that server.
+    pub report: Report,
+    /// Version of the configuration in force.
+    pub version: Version,
+    /// Age of the proof that no newer one exists.
+    pub proof_age: Option<Duration>,
+    /// Moment of sending, on the sender's clock.
+    pub sent_at: BootTime,
+    /// `sent_at` of the last state of the receiver that the sender had taken in before.
+    pub echo: Option<BootTime>,
+    /// Whether the sender has heard the receiver lately.
+    pub hears_you: bool,
+    /// Whether the receiver should answer at once.
+    pub wants_answer: bool,
+}
+
+/// A daemon as its row in the store describes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Address for datagrams and hand-offs.
+    pub addr: DaemonId,
+    /// Process that wrote the row.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub place: Place,
+    /// Service of the server beside it.
+    pub service: ServiceId,
+}
+
+/// What is known of one daemon.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its address.
+    pub addr: DaemonId,
+    incarnation: Incarnation,
+    place: Place,
+    service: Option<ServiceId>,
+    report: Option<Report>,
+    /// Own hand-offs under way since the last report.
+    pending: u32,
+    heard_at: Option<Instant>,
+    /// `sent_at` of its last state.
+    said_at: Option<BootTime>,
+    hears_us: bool,
+    /// Until when it is not given work, after a hand-off failed.
+    down_until: Option<Instant>,
+    listed_at: Instant,
+}
+
+impl Peer {
+    fn new(listed: Listed, now: Instant) -> Self {
+        let Listed { addr, incarnation, place, service } = listed;
+        let service = Some(service);
+        Self {
+            addr,
+            incarnation,
+            place,
+            service,
+            report: None,
+            pending: 0,
+            heard_at: None,
+            said_at: None,
+            hears_us: false,
+            down_until: None,
+            listed_at: now,
+        }
+    }
+
+    fn load(&self) -> Load {
+        let Some(report) = self.report else {
+            let (running, slots) = (self.pending, UNKNOWN_SLOTS);
+            return Load { running, waiting: 0, slots, mean_run: UNKNOWN_RUN };
+        };
+        Load {
+            running: u32::from(report.running) + self.pending,
+            waiting: u32::from(report.waiting),
+            slots: u32::from(report.slots),
+            mean_run: Duration::from_millis(u64::from(report.mean_run_ms)),
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.report.is_none_or(|r| r.takes_work)
+    }
+}
+
+/// All other daemons.
+#[derive(Debug)]
+pub struct Peers {
+    me: DaemonId,
+    place: Place,
+    by_addr: HashMap<DaemonId, Peer>,
+}
+
+impl Peers {
+    /// Makes an empty table for the daemon at `me`.
+    pub fn new(me: DaemonId, place: Place) -> Self {
+        Self { me, place, by_addr: HashMap::new() }
+    }
+
+    /// Takes in a row of the store; true if the daemon was not known.
+    pub fn note_listed(&mut self, listed: Listed, now: Instant) -> bool {
+        if listed.addr == self.me {
+            return false;
+        }
+        match self.by_addr.get_mut(&listed.addr) {
+            Some(peer) if peer.incarnation >= listed.incarnation => {
+                peer.listed_at = now;
+                false
+            }
+            _ => {
+                self.by_addr.insert(listed.addr, Peer::new(listed, now));
+                true
+            }
+        }
+    }
+
+    /// Takes in a daemon's status; true if its process was not known.
+    pub fn note_status(&mut self, from: DaemonId, status: &Status, now: Instant) -> bool {
+        if from == self.me {
+            return false;
+        }
+        let known = self.by_addr.get(&from).map(|peer| peer.incarnation);
+        if known.is_some_and(|incarnation| status.incarnation < incarnation) {
+            return false;
+        }
+        let is_new = known != Some(status.incarnation);
+        if is_new {
+            let service = status.service.clone().unwrap_or_default();
+            let (incarnation, place) = (status.incarnation, status.place.clone());
+            let listed = Listed { addr: from, incarnation, place, service };
+            self.by_addr.insert(from, Peer::new(listed, now));
+        }
+        if let Some(peer) = self.by_addr.get_mut(&from) {
+            peer.service.clone_from(&status.service);
+            peer.report = Some(status.report);
+            peer.pending = 0;
+            peer.heard_at = Some(now);
+            peer.said_at = Some(status.sent_at);
+            peer.hears_us = status.hears_you;
+            if status.hears_you {
+                peer.down_until = None;
+            }
+        }
+        is_new
+    }
+
+    /// Takes in the report that came with an answer.
+    pub fn note_report(&mut self, from: DaemonId, report: Report) {
+        if let Some(peer) = self.by_addr.get_mut(&from) {
+            peer.report = Some(report);
+            peer.pending = peer.pending.saturating_sub(1);
+        }
+    }
+
+    /// Notes a hand-off.
+    pub fn note_handoff(&mut self, to: DaemonId) {
+        if let Some(peer) = self.by_addr.get_mut(&to) {
+            peer.pending += 1;
+        }
+    }
+
+    /// Notes that a hand-off failed on the way.
+    pub fn note_path_failure(&mut self, to: DaemonId, now: Instant) {
+        if let Some(peer) = self.by_addr.get_mut(&to) {
+            peer.down_until = Some(now + PATH_PAUSE);
+        }
+    }
+
+    /// Whether a daemon was heard lately.
+    pub fn is_heard(&self, addr: &DaemonId, now: Instant) -> bool {
+        let heard = self.by_addr.get(addr).and_then(|p| p.heard_at);
+        heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT_AFTER)
+    }
+
+    /// Moment of a daemon's last state, on its clock.
+    pub fn said_at(&self, addr: &DaemonId) -> Option<BootTime> {
+        self.by_addr.get(addr).and_then(|p| p.said_at)
+    }
+
+    /// Daemons of this region.
+    pub fn in_region(&self) -> impl Iterator<Item = &Peer> {
+        self.by_addr.values().filter(|p| p.place.region == self.place.region)
+    }
+
+    /// Daemons of this data centre.
+    pub fn in_centre(&self) -> impl Iterator<Item = &Peer> {
+        self.by_addr.values().filter(|p| p.place == self.place)
+    }
+
+    /// All other daemons.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.by_addr.values()
+    }
+
+    /// Number of daemons that divide rates, this one included.
+    pub fn members(&self, now: Instant) -> u32 {
+        let seen = |p: &&Peer| {
+            let last = p.heard_at.map_or(p.listed_at, |at| at.max(p.listed_at));
+            p.place.region != self.place.region || now.saturating_duration_since(last) < GONE_AFTER
+        };
+        self.by_addr.values().filter(seen).count() as u32 + 1
+    }
+
+    /// Position of this daemon among those of its data centre that were heard lately, by address.
+    pub fn rank_in_centre(&self, now: Instant) -> usize {
+        self.in_centre().filter(|p| p.addr < self.me && self.is_heard(&p.addr, now)).count()
+    }
+
+    /// Addresses and candidates for work of `service`, but those in `tried`.
+    pub fn candidates(
+        &self,
+        service: &str,
+        tried: &[DaemonId],
+        now: Instant,
+    ) -> (Vec<SocketAddr>, Vec<Candidate>) {
+        let mut addrs = Vec::new();
+        let mut candidates = Vec::new();
+        for peer in self.by_addr.values() {
+            let serves = peer.service.as_deref() == Some(service) && peer.takes_work();
+            if !serves || tried.contains(&peer.addr) {
+                continue;
+            }
+            candidates.push(self.candidate(peer, addrs.len(), now));
+            addrs.push(peer.addr);
+        }
+        (addrs, candidates)
+    }
+
+    fn candidate(&self, peer: &Peer, index: usize, now: Instant) -> Candidate {
+        let distance = if peer.place == self.place {
+            Distance::Centre
+        } else if peer.place.region == self.place.region {
+            Distance::Region
+        } else {
+            Distance::Beyond
+        };
+        let is_down = peer.down_until.is_some_and(|until| now < until);
+        let is_heard = distance == Distance::Beyond || (peer.hears_us && self.is_heard(&peer.addr, now));
+        Candidate {
+            index,
+            distance,
+            load: peer.load(),
+            suspect: peer.report.is_some_and(|r| r.suspect),
+            wants_tests: peer.report.is_some_and(|r| r.wants_tests),
+            reachable: is_heard && !is_down,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/registration.rs
@@ -0,0 +1,131 @@
+//! What the server beside this daemon announces of itself. Sans-I/O.
+//!
+//! Heartbeats may be late, doubled or left over from an earlier start of the server; leaving is final for one
+//! start, whatever arrives after it.
+
+use std::time::{Duration, Instant};
+
+use base::{ServerId, ServiceId};
+
+use crate::handoff::Reason;
+
+/// Millisecond at which a server was started; tells its incarnations apart.
+pub type Born = u64;
+
+/// Departures that are remembered.
+const MAX_DEPARTED: usize = 64;
+
+/// One heartbeat of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Id of the server.
+    pub id: ServerId,
+    /// Its start.
+    pub born: Born,
+    /// Grows with each heartbeat of one start.
+    pub sequence: u64,
+    /// Service that it runs.
+    pub service: ServiceId,
+    /// Requests that it can run at the same time.
+    pub slots: u16,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+}
+
+/// What a heartbeat changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Noted {
+    /// A server that was not known, or a new start of one.
+    Registered,
+    /// A new state of the known server.
+    Updated,
+    /// Nothing; it was late or doubled.
+    Late,
+    /// Nothing; it is of an earlier start, or of one that has left.
+    Outdated,
+}
+
+#[derive(Clone, Debug)]
+struct Departed {
+    id: ServerId,
+    born: Born,
+}
+
+/// A server that is registered.
+#[derive(Clone, Debug)]
+pub struct Registered {
+    /// Its last heartbeat in the order of their sequence. Once `draining`, it stays so.
+    pub heartbeat: Heartbeat,
+    /// Until when it is slow after its start.
+    pub cold_until: Instant,
+}
+
+/// The server beside this daemon, if one is registered.
+#[derive(Debug, Default)]
+pub struct Registration {
+    server: Option<Registered>,
+    /// The latest departures, oldest first.
+    departed: Vec<Departed>,
+}
+
+impl Registration {
+    /// Takes in a heartbeat.
+    pub fn note(&mut self, mut heartbeat: Heartbeat, now: Instant) -> Noted {
+        if self.departed.iter().any(|d| d.id == heartbeat.id && heartbeat.born <= d.born) {
+            return Noted::Outdated;
+        }
+        let cold_until = now + heartbeat.cold_for;
+        let Some(known) = &self.server else {
+            self.server = Some(Registered { heartbeat, cold_until });
+            return Noted::Registered;
+        };
+        let old = &known.heartbeat;
+        if heartbeat.born < old.born {
+            return Noted::Outdated;
+        }
+        if heartbeat.born > old.born || heartbeat.id != old.id {
+            self.server = Some(Registered { heartbeat, cold_until });
+            return Noted::Registered;
+        }
+        if heartbeat.sequence <= old.sequence {
+            return Noted::Late;
+        }
+        heartbeat.draining |= old.draining;
+        self.server = Some(Registered { heartbeat, cold_until });
+        Noted::Updated
+    }
+
+    /// Takes in that a server has left; true if it was the registered one. Of one that is not known, all
+    /// starts up to `wall_ms` count as over.
+    pub fn leave(&mut self, id: &str, wall_ms: Born) -> bool {
+        let known = self.server.take_if(|known| *known.heartbeat.id == *id);
+        if self.departed.len() == MAX_DEPARTED {
+            self.departed.remove(0);
+        }
+        let born = known.as_ref().map_or(wall_ms, |k| k.heartbeat.born);
+        self.departed.push(Departed { id: id.into(), born });
+        known.is_some()
+    }
+
+    /// The registered server.
+    pub fn server(&self) -> Option<&Registered> {
+        self.server.as_ref()
+    }
+
+    /// The server, if it may take new work of `service`.
+    ///
+    /// # Errors
+    /// Fails with the reason for which it may not.
+    pub fn serving(&self, service: &str) -> Result<&Registered, Reason> {
+        let known = self.server.as_ref().ok_or(Reason::NoServer)?;
+        if *known.heartbeat.service != *service {
+            return Err(Reason::OtherService);
+        }
+        if known.heartbeat.draining {
+            return Err(Reason::Draining);
+        }
+        Ok(known)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,87 @@
+//! Starts the tasks of a daemon and stops it gracefully.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::event;
+use store::Table;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::gossip::Gossip;
+use crate::node::Node;
+use crate::refresh::ConfigSource;
+use crate::{directory, gossip, links, listen, refresh};
+
+/// Time after the stop signal in which callers are still served, so that they can be led elsewhere.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// Time before the end of the grace period at which the daemon ends whatever still runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Interval at which changes of the server beside the daemon are looked for.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which a stop looks whether all work has ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sockets of a daemon.
+#[derive(Debug)]
+pub struct Sockets {
+    /// For callers on this instance.
+    pub callers: TcpListener,
+    /// For hand-offs of other daemons.
+    pub handoffs: TcpListener,
+    /// For datagrams of other daemons; same address as `handoffs`.
+    pub datagrams: UdpSocket,
+}
+
+/// Runs a daemon until it was asked to stop and all accepted work has ended.
+pub async fn run(
+    node: Rc<Node>,
+    sockets: Sockets,
+    source: impl ConfigSource + 'static,
+    table: Rc<dyn Table>,
+    stop: CancellationToken,
+) {
+    let closing = CancellationToken::new();
+    let gossip = Rc::new(Gossip::new(sockets.datagrams));
+    node.gossip.replace(Some(Rc::clone(&gossip)));
+    spawn_local(links::serve(Rc::clone(&node), sockets.handoffs));
+    spawn_local(listen::listen(Rc::clone(&node), sockets.callers, closing.clone()));
+    spawn_local(gossip::receive(Rc::clone(&node), Rc::clone(&gossip)));
+    spawn_local(gossip::send_states(Rc::clone(&node), Rc::clone(&gossip)));
+    spawn_local(refresh::refresh(Rc::clone(&node), source));
+    spawn_local(directory::keep(Rc::clone(&node), Rc::clone(&gossip), table));
+    spawn_local(watch_changes(Rc::clone(&node)));
+    stop.cancelled().await;
+    end(&node, &gossip, &closing).await;
+}
+
+/// Spreads changes of the server's state at once.
+async fn watch_changes(node: Rc<Node>) {
+    loop {
+        sleep(CHANGE_INTERVAL).await;
+        if node.exit.take_changed() {
+            node.urgent.notify_one();
+        }
+    }
+}
+
+async fn end(node: &Rc<Node>, gossip: &Gossip, closing: &CancellationToken) {
+    let end_by = Instant::now() + node.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let linger_until = Instant::now() + LINGER;
+    event!(Info, DaemonStopping, "callers={} at_server={}", node.callers(), node.exit.load());
+    node.stop();
+    gossip::introduce(node, gossip);
+    while Instant::now() < linger_until {
+        sleep(STOP_INTERVAL).await;
+    }
+    node.exit.stop();
+    closing.cancel();
+    while Instant::now() < end_by && node.callers() + node.exit.load() > 0 {
+        sleep(STOP_INTERVAL).await;
+    }
+    // Lets the last answers reach their sockets.
+    sleep(STOP_INTERVAL).await;
+    event!(Info, DaemonStopped, "callers={} at_server={}", node.callers(), node.exit.load());
+}
--- /dev/null
+++ b/crates/relay/src/times.rs
@@ -0,0 +1,42 @@
+//! Run times that one server has shown, for each route. Sans-I/O.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Weight of a new run in the mean.
+const NEW_WEIGHT: f64 = 0.15;
+/// Part of a route's latency objective that an unknown run is expected to take.
+const UNKNOWN_PART: f64 = 0.3;
+/// Mean run before any was seen.
+const FIRST_MEAN: Duration = Duration::from_millis(250);
+
+/// Moving means of run times.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    by_route: HashMap<u32, f64>,
+    /// Mean over all runs, in seconds.
+    all: Option<f64>,
+}
+
+impl RunTimes {
+    /// Takes in one run.
+    pub fn add(&mut self, route_hash: u32, took: Duration) {
+        let took = took.as_secs_f64();
+        let blend = |old: f64| old + NEW_WEIGHT * (took - old);
+        self.all = Some(self.all.map_or(took, blend));
+        self.by_route.entry(route_hash).and_modify(|old| *old = blend(*old)).or_insert(took);
+    }
+
+    /// Expected time of a run.
+    pub fn expected(&self, route_hash: u32, objective: Duration) -> Duration {
+        match self.by_route.get(&route_hash) {
+            Some(mean) => Duration::from_secs_f64(*mean),
+            None => objective.mul_f64(UNKNOWN_PART),
+        }
+    }
+
+    /// Mean over all routes.
+    pub fn mean(&self) -> Duration {
+        self.all.map_or(FIRST_MEAN, Duration::from_secs_f64)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,12 +11,16 @@
 
 pub mod budget;
 pub mod concurrency;
+pub mod dispatch;
 pub mod link;
 pub mod pick;
+pub mod place;
 pub mod queue;
 
 pub use budget::Budget;
 pub use concurrency::Limit;
+pub use dispatch::Dispatch;
 pub use link::Link;
 pub use pick::{Want, choose};
+pub use place::place;
 pub use queue::{FairQueue, Pushed};
--- /dev/null
+++ b/crates/route/src/place.rs
@@ -0,0 +1,149 @@
+//! Choice of the daemon beside whose server a request shall run. Sans-I/O; randomness comes from the caller.
+//!
+//! Answers three load patterns. A backlog at one server: expected completion decides, not the number of
+//! requests alone. Many daemons with equally old reports: each draws a few candidates, so that they don't all
+//! pick the same one. A region short of servers: work spills over the link between regions only if the near
+//! servers would miss the objective.
+
+use std::time::Duration;
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+/// Candidates drawn for one choice.
+const DRAWN: usize = 3;
+/// Added to the expected completion beyond the own data centre, for the bytes and the way.
+const OTHER_CENTRE_PENALTY: Duration = Duration::from_millis(15);
+/// Added in another region for the round trip.
+const OTHER_REGION_PENALTY: Duration = Duration::from_millis(60);
+/// Part of a mean run that a fully used server costs more than an idle one.
+const USE_WEIGHT: f64 = 0.5;
+/// Chance that a repeatable request is used to test a suspect server that asks for it.
+const TEST_CHANCE: f64 = 0.3;
+
+/// How far a server is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// On this instance.
+    Own,
+    /// In this data centre.
+    Centre,
+    /// In this region.
+    Region,
+    /// In another region.
+    Beyond,
+}
+
+/// What is known of a server's load.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// Requests that it can run at the same time.
+    pub slots: u32,
+    /// Mean time of a run.
+    pub mean_run: Duration,
+}
+
+/// A server that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Its place in the caller's list.
+    pub index: usize,
+    /// How far it is.
+    pub distance: Distance,
+    /// Its load as reported, with this daemon's own requests since.
+    pub load: Load,
+    /// Whether it is thought to fail requests.
+    pub suspect: bool,
+    /// Whether it asks for requests that show if it has recovered.
+    pub wants_tests: bool,
+    /// Whether the way to it works as far as is known.
+    pub reachable: bool,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time left until its latency objective.
+    pub objective_left: Duration,
+    /// Whether its answer is too large for the link between regions, unless nothing else is left.
+    pub large_answer: bool,
+}
+
+/// Chooses a candidate; none only if there are none.
+pub fn place(candidates: &[Candidate], need: &Need, rng: &mut impl Rng) -> Option<usize> {
+    if need.repeatable
+        && let Some(index) = to_test(candidates, rng)
+    {
+        return Some(index);
+    }
+    let sound = |c: &&Candidate| !c.suspect && c.reachable;
+    let near = draw(candidates.iter().filter(sound).filter(|c| c.distance < Distance::Beyond), rng);
+    let in_time = |c: &Candidate| completion(c) <= need.objective_left;
+    if let Some(best) = near
+        && (in_time(best) || need.large_answer)
+    {
+        return Some(best.index);
+    }
+    let beyond = draw(candidates.iter().filter(sound).filter(|c| c.distance == Distance::Beyond), rng);
+    let best = [near, beyond].into_iter().flatten().min_by_key(|c| completion(c));
+    best.or_else(|| draw(candidates.iter().filter(|c| c.reachable && c.distance < Distance::Beyond), rng))
+        .or_else(|| draw(candidates.iter(), rng))
+        .map(|c| c.index)
+}
+
+/// A suspect server of the region that asks to be tested, now and then.
+fn to_test(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
+    let asks = |c: &&Candidate| {
+        c.suspect && c.wants_tests && c.reachable && c.distance < Distance::Beyond && c.load.waiting == 0
+    };
+    let count = candidates.iter().filter(asks).count();
+    if count == 0 || !rng.random_bool(TEST_CHANCE) {
+        return None;
+    }
+    let nth = rng.random_range(0..count);
+    candidates.iter().filter(asks).nth(nth).map(|c| c.index)
+}
+
+/// Draws a few candidates and returns the one that is expected to finish first.
+fn draw<'a>(candidates: impl Iterator<Item = &'a Candidate>, rng: &mut impl Rng) -> Option<&'a Candidate> {
+    let mut drawn: SmallVec<[&Candidate; DRAWN]> = SmallVec::new();
+    for (seen, candidate) in candidates.enumerate() {
+        if candidate.distance == Distance::Own && seen > 0 {
+            drawn.insert(0, candidate);
+            drawn.truncate(DRAWN);
+            continue;
+        }
+        if drawn.len() < DRAWN {
+            drawn.push(candidate);
+            continue;
+        }
+        let slot = rng.random_range(0..=seen);
+        if slot < DRAWN && drawn[slot].distance != Distance::Own {
+            drawn[slot] = candidate;
+        }
+    }
+    drawn.into_iter().min_by_key(|c| completion(c))
+}
+
+/// Expected time until an answer, with penalties for the distance.
+pub fn completion(candidate: &Candidate) -> Duration {
+    let Load { running, waiting, slots, mean_run } = candidate.load;
+    let slots = slots.max(1);
+    let present = running + waiting;
+    let queued = (present + 1).saturating_sub(slots);
+    let wait = mean_run * queued / slots;
+    let share = (f64::from(present) / f64::from(slots)).min(1.0);
+    let penalty = match candidate.distance {
+        Distance::Own => Duration::ZERO,
+        Distance::Centre => Duration::from_millis(1),
+        Distance::Region => OTHER_CENTRE_PENALTY,
+        Distance::Beyond => OTHER_REGION_PENALTY,
+    };
+    penalty + wait + mean_run + mean_run.mul_f64(USE_WEIGHT * share)
+}
