Test suspect servers at intervals, count sheds apart from failures, bound waits at an exit

Change: 800 ms between a failed test and the next; sheds raise the expected completion instead; a request waits at an exit at most twice the expected time, then looks elsewhere.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -29,6 +29,8 @@
 
 /// Hand-offs of one request that may be declined before it is refused.
 const MAX_DECLINES: usize = 8;
+/// Suspect servers that may decline a request before it insists to be run by one.
+const MAX_SUSPECTS: usize = 3;
 /// Longest wait for a proof or tokens before a request is refused.
 const ADMIT_WAIT: Duration = Duration::from_millis(120);
 /// Longest wait for a first server.
@@ -302,6 +304,8 @@
     /// Servers that it may have reached.
     reached: u32,
     declines: usize,
+    /// Declines of servers that are thought to fail.
+    suspects: usize,
     /// Shortest time until one of the busy servers has room.
     free_in: Option<Duration>,
     /// A server's failure, returned if nothing better comes.
@@ -321,6 +325,7 @@
             tried: SmallVec::new(),
             reached: 0,
             declines: 0,
+            suspects: 0,
             free_in: None,
             fallback: None,
             unknown: None,
@@ -329,7 +334,10 @@
     }
 
     async fn run(mut self) -> Result<Response<Body>, Refused> {
-        self.node.earn_retry(&self.admitted.service);
+        // What a running request calls for is no request of a caller.
+        if !self.admitted.route.open {
+            self.node.earn_retry(&self.admitted.service);
+        }
         loop {
             let Some(to) = self.choose().await else { break };
             let sent_at = Instant::now();
@@ -375,6 +383,10 @@
             Verdict::Declined { reason, free_in } => {
                 self.node.metrics.declines.with_label_values(&[&reason.to_string()]).inc();
                 self.declines += 1;
+                if reason == Reason::Suspect {
+                    self.suspects += 1;
+                    self.insist |= self.suspects >= MAX_SUSPECTS;
+                }
                 if reason == Reason::Busy {
                     self.free_in = Some(self.free_in.map_or(free_in, |known| known.min(free_in)));
                 }
@@ -413,7 +425,8 @@
             if self.declines >= MAX_DECLINES {
                 return None;
             }
-            if let Some(to) = self.choose_now() {
+            if let Some((to, is_last_resort)) = self.choose_now() {
+                self.insist |= is_last_resort;
                 return Some(to);
             }
             if !self.insist && !self.tried.is_empty() {
@@ -429,7 +442,8 @@
         }
     }
 
-    fn choose_now(&self) -> Option<DaemonId> {
+    /// The next daemon, and whether its server is suspect and chosen for want of a sound one.
+    fn choose_now(&self) -> Option<(DaemonId, bool)> {
         let now = Instant::now();
         let service = &*self.admitted.service;
         let (mut addrs, mut candidates) = self.node.peers.borrow().candidates(service, &self.tried, now);
@@ -442,7 +456,9 @@
             large_answer: size > LARGE_ANSWER_BYTES,
         };
         let mut rng = SmallRng::from_rng(&mut rand::rng());
-        place(&candidates, &need, &mut rng).map(|index| addrs[index])
+        let index = place(&candidates, &need, &mut rng)?;
+        let has_sound = candidates.iter().any(|c| !c.suspect && c.reachable);
+        Some((addrs[index], !has_sound))
     }
 
     /// Adds the server beside this daemon.
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -35,6 +35,16 @@
 const FRESH_FOR_REPEATABLE: Duration = Duration::from_secs(60);
 /// Pause after a failed connection before the server is tried again.
 const DOWN_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between the end of a failed test of a suspect server and the next test.
+const TEST_PAUSE: Duration = Duration::from_millis(800);
+/// Weight of a new arrival in the share of arrivals that the server shed.
+const SHED_WEIGHT: f64 = 0.1;
+/// How many mean runs a server that sheds everything seems slower to those who choose.
+const SHED_COST: f64 = 4.0;
+/// Shortest time for which a request waits for a slot before it may look for another server.
+const MIN_PATIENCE: Duration = Duration::from_millis(150);
+/// How many times the expected time it waits otherwise.
+const PATIENCE_FACTOR: u32 = 2;
 /// How many times its expected time a run takes before it counts as a failure.
 const OVERDUE_FACTOR: u32 = 5;
 /// Time past the deadline in which the server's own answer still counts.
@@ -54,6 +64,16 @@
     down_until: Option<Instant>,
     /// A run that tests the suspect server.
     test: Option<Ticket>,
+    /// Before this time no further test is wanted.
+    next_test: Instant,
+    /// Moving share of arrivals that the server refused to run, 0 to 1.
+    shed: f64,
+}
+
+impl State {
+    fn may_test(&self, now: Instant) -> bool {
+        self.test.is_none() && now >= self.next_test
+    }
 }
 
 /// The server beside this daemon, and the work in front of it.
@@ -78,6 +98,8 @@
             times: RunTimes::default(),
             down_until: None,
             test: None,
+            next_test: now,
+            shed: 0.0,
         };
         let (changed, is_stopping) = (Cell::new(false), Cell::new(false));
         Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, is_stopping }
@@ -156,6 +178,7 @@
         let is_down = state.down_until.is_some_and(|until| now < until);
         let suspect = is_down || state.gray.is_suspect(now);
         let mean = state.times.mean().max(state.dispatch.longest_run(now) / 2);
+        let mean = mean.mul_f64(1.0 + SHED_COST * state.shed);
         Report {
             takes_work: takes_work && !self.is_stopping.get(),
             running: state.dispatch.running() as u16,
@@ -163,7 +186,7 @@
             slots: state.dispatch.slots() as u16,
             mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
             suspect,
-            wants_tests: suspect && !is_down && state.test.is_none(),
+            wants_tests: suspect && !is_down && state.may_test(now),
         }
     }
 
@@ -195,12 +218,15 @@
         let Some(granted) = granted else {
             return Ok(run);
         };
-        match timeout_at(deadline.into(), granted).await {
+        let patience = (granted.free_in * PATIENCE_FACTOR).max(MIN_PATIENCE);
+        match timeout_at((now + patience).min(deadline).into(), granted.receiver).await {
             Ok(Ok(true)) => {
                 run.started = Instant::now();
                 Ok(run)
             }
-            Ok(Ok(false)) | Err(_) => Err(Verdict::declined(Reason::Busy)),
+            Ok(Ok(false)) | Err(_) => {
+                Err(Verdict::Declined { reason: Reason::Busy, free_in: granted.free_in })
+            }
             Ok(Err(_cleared)) => Err(Verdict::declined(Reason::Draining)),
         }
     }
@@ -211,7 +237,7 @@
         order: &Order,
         now: Instant,
         deadline: Instant,
-    ) -> Result<(Run, Option<oneshot::Receiver<bool>>), Verdict> {
+    ) -> Result<(Run, Option<Granted>), Verdict> {
         if self.is_stopping.get() {
             return Err(Verdict::declined(Reason::Stopping));
         }
@@ -220,7 +246,7 @@
         let server = server.heartbeat.id.clone();
         let is_down = state.down_until.is_some_and(|until| now < until);
         let suspect = is_down || state.gray.is_suspect(now);
-        let may_test = order.repeatable && !is_down && state.test.is_none();
+        let may_test = order.repeatable && !is_down && state.may_test(now);
         if suspect && !may_test && !order.insist {
             return Err(Verdict::declined(Reason::Suspect));
         }
@@ -231,12 +257,12 @@
             deadline,
             expected: state.times.expected(order.route_hash, order.objective_left),
         };
-        let (ticket, receiver) = match state.dispatch.offer(work, now) {
+        let (ticket, granted) = match state.dispatch.offer(work, now) {
             Offered::Started(ticket) => (ticket, None),
             Offered::Waiting(ticket) => {
-                let (tx, rx) = oneshot::channel();
+                let (tx, receiver) = oneshot::channel();
                 state.waiting.insert(ticket, tx);
-                (ticket, Some(rx))
+                (ticket, Some(Granted { receiver, free_in: state.dispatch.wait_for(&work, now) }))
             }
             Offered::Declined { free_in } => {
                 return Err(Verdict::Declined { reason: Reason::Busy, free_in });
@@ -256,7 +282,7 @@
             conn: None,
             keep_alive: None,
         };
-        Ok((run, receiver))
+        Ok((run, granted))
     }
 
     fn note_down(&self, e: &std::io::Error) {
@@ -268,10 +294,20 @@
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
+    /// Takes in whether the server refused to run a request that reached it.
+    fn note_arrival(&self, was_shed: bool) {
+        let mut state = self.state.borrow_mut();
+        let target = if was_shed { 1.0 } else { 0.0 };
+        state.shed += SHED_WEIGHT * (target - state.shed);
+    }
+
     fn observe(&self, shown: Shown, now: Instant) {
         let mut state = self.state.borrow_mut();
         let was_suspect = state.gray.is_suspect(now);
         state.gray.observe(shown, now);
+        if shown == Shown::Failure {
+            state.next_test = now + TEST_PAUSE;
+        }
         let is_suspect = state.gray.is_suspect(now);
         if was_suspect == is_suspect {
             return;
@@ -287,6 +323,15 @@
     }
 }
 
+/// A slot that will be granted.
+#[derive(Debug)]
+struct Granted {
+    /// Told whether there is a slot; closed if the server takes no more work.
+    receiver: oneshot::Receiver<bool>,
+    /// Expected time until then.
+    free_in: Duration,
+}
+
 /// A request at the server, and the slot that it holds.
 #[derive(Debug)]
 pub struct Run {
@@ -345,9 +390,10 @@
         let rep = self.head(req.map(Full::new)).await?;
         if rep.headers().contains_key(&exit.names.not_run) || rep.status() == StatusCode::MISDIRECTED_REQUEST
         {
-            exit.observe(Shown::Failure, Instant::now());
+            exit.note_arrival(true);
             return Err(Verdict::declined(Reason::Shed));
         }
+        exit.note_arrival(false);
         let is_own = rep.headers().get(&exit.names.request_id) == id.as_ref();
         let is_signed = rep.headers().contains_key(&exit.names.signature);
         if !is_own || (rep.status().is_success() && !is_signed) {
