--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -482,6 +482,7 @@
             load,
             suspect: report.suspect,
             wants_tests: report.wants_tests,
+            wants_work: report.wants_work,
             reachable: true,
         });
         addrs.push(me);
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -37,6 +37,8 @@
 const DOWN_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between the end of a failed test of a suspect server and the next test.
 const TEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time without work after which a sound server asks for some.
+const IDLE_AFTER: Duration = Duration::from_millis(900);
 /// Weight of a new arrival in the share of arrivals that the server shed.
 const SHED_WEIGHT: f64 = 0.1;
 /// How many mean runs a server that sheds everything seems slower to those who choose.
@@ -66,6 +68,8 @@
     test: Option<Ticket>,
     /// Before this time no further test is wanted.
     next_test: Instant,
+    /// When work was last offered.
+    last_offer: Instant,
     /// Moving share of arrivals that the server refused to run, 0 to 1.
     shed: f64,
 }
@@ -99,6 +103,7 @@
             down_until: None,
             test: None,
             next_test: now,
+            last_offer: now,
             shed: 0.0,
         };
         let (changed, is_stopping) = (Cell::new(false), Cell::new(false));
@@ -187,6 +192,7 @@
             mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
             suspect,
             wants_tests: suspect && !is_down && state.may_test(now),
+            wants_work: !suspect && now.saturating_duration_since(state.last_offer) > IDLE_AFTER,
         }
     }
 
@@ -250,6 +256,7 @@
         if suspect && !may_test && !order.insist {
             return Err(Verdict::declined(Reason::Suspect));
         }
+        state.last_offer = now;
         let work = Work {
             rank: order.rank,
             nested: order.nested,
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -117,6 +117,8 @@
     pub suspect: bool,
     /// Whether a repeatable request is wanted to test it.
     pub wants_tests: bool,
+    /// Whether it is sound and has had no work for a while.
+    pub wants_work: bool,
 }
 
 /// Writes a message into a header as hexadecimal digits of its postcard form.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -290,6 +290,7 @@
             load: peer.load(),
             suspect: peer.report.is_some_and(|r| r.suspect),
             wants_tests: peer.report.is_some_and(|r| r.wants_tests),
+            wants_work: peer.report.is_some_and(|r| r.wants_work) && peer.pending == 0,
             reachable: is_heard && !is_down,
         }
     }
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -1,8 +1,9 @@
 //! Choice of the daemon beside whose server a request shall run. Sans-I/O; randomness comes from the caller.
 //!
-//! Answers three load patterns. A backlog at one server: expected completion decides, not the number of
+//! Answers four load patterns. A backlog at one server: expected completion decides, not the number of
 //! requests alone. Many daemons with equally old reports: each draws a few candidates, so that they don't all
-//! pick the same one. A region short of servers: work spills over the link between regions only if the near
+//! pick the same one. A server that once seemed slow: it asks for work when it has had none for a while, so that
+//! the estimate can be corrected and no sound capacity lies idle. A region short of servers: work spills over the link between regions only if the near
 //! servers would miss the objective.
 
 use std::time::Duration;
@@ -34,6 +35,9 @@
     Beyond,
 }
 
+/// Chance that a request goes to a sound server that has had none for a while.
+const IDLE_CHANCE: f64 = 0.2;
+
 /// What is known of a server's load.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -60,6 +64,8 @@
     pub suspect: bool,
     /// Whether it asks for requests that show if it has recovered.
     pub wants_tests: bool,
+    /// Whether it is sound and has had no work for a while.
+    pub wants_work: bool,
     /// Whether the way to it works as far as is known.
     pub reachable: bool,
 }
@@ -77,9 +83,14 @@
 
 /// Chooses a candidate; none only if there are none.
 pub fn place(candidates: &[Candidate], need: &Need, rng: &mut impl Rng) -> Option<usize> {
-    if need.repeatable
-        && let Some(index) = to_test(candidates, rng)
-    {
+    if need.repeatable {
+        let tests = |c: &Candidate| c.suspect && c.wants_tests && c.load.waiting == 0;
+        if let Some(index) = now_and_then(candidates, TEST_CHANCE, tests, rng) {
+            return Some(index);
+        }
+    }
+    let idle = |c: &Candidate| !c.suspect && c.wants_work;
+    if let Some(index) = now_and_then(candidates, IDLE_CHANCE, idle, rng) {
         return Some(index);
     }
     let sound = |c: &&Candidate| !c.suspect && c.reachable;
@@ -97,13 +108,16 @@
         .map(|c| c.index)
 }
 
-/// A suspect server of the region that asks to be tested, now and then.
-fn to_test(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let asks = |c: &&Candidate| {
-        c.suspect && c.wants_tests && c.reachable && c.distance < Distance::Beyond && c.load.waiting == 0
-    };
+/// One of the region's servers that are `wanted`, with this chance.
+fn now_and_then(
+    candidates: &[Candidate],
+    chance: f64,
+    wanted: impl Fn(&Candidate) -> bool,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let asks = |c: &&Candidate| c.reachable && c.distance < Distance::Beyond && wanted(c);
     let count = candidates.iter().filter(asks).count();
-    if count == 0 || !rng.random_bool(TEST_CHANCE) {
+    if count == 0 || !rng.random_bool(chance) {
         return None;
     }
     let nth = rng.random_range(0..count);
