Let the penalty of a server's distance grow with the bytes that have to go there

Change: 3 ms a kilobyte in the region, 10 ms beyond, in place of one mark for large answers; refusals by rate name the customer in the log.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -39,8 +39,8 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(250);
 /// Answers up to this size are held until they are whole.
 const HOLD_ANSWER_BYTES: u64 = 1024 * 1024;
-/// Mean answer from which a route's answers count as large.
-const LARGE_ANSWER_BYTES: f64 = 32.0 * 1024.0;
+/// Bytes of the heads of a request and its answer.
+const HEAD_BYTES: u64 = 1_024;
 /// Weight of a new answer in the mean size.
 const SIZE_WEIGHT: f64 = 0.2;
 /// Shortest time after which refused callers are asked to return.
@@ -52,21 +52,24 @@
 pub type AnswerSizes = HashMap<u32, f64>;
 
 /// Why a request is refused, and when it may succeed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Refused {
     refusal: Refusal,
     retry_after: Option<Duration>,
+    /// Customer for whom the request would have run, once known.
+    customer: Option<CustomerId>,
 }
 
 impl From<Refusal> for Refused {
     fn from(refusal: Refusal) -> Self {
-        Self { refusal, retry_after: None }
+        Self { refusal, retry_after: None, customer: None }
     }
 }
 
 impl Refused {
     fn after(refusal: Refusal, wait: Duration) -> Self {
-        Self { refusal, retry_after: Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)) }
+        let retry_after = Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+        Self { refusal, retry_after, customer: None }
     }
 }
 
@@ -130,10 +133,11 @@
     let after_ms = started.elapsed().as_millis();
     let proof_ms = node.proof_age().map_or(-1, |age| age.as_millis() as i64);
     let (reason, run, version) = (refusal.code(), refusal.run(), node.version());
+    let customer = refused.customer.as_deref().unwrap_or("-");
     event!(
         Info,
         RequestRefused,
-        "id={id} reason={reason} run={run} after_ms={after_ms} version={version} proof_ms={proof_ms}"
+        "id={id} customer={customer} reason={reason} run={run} after_ms={after_ms} version={version} proof_ms={proof_ms}"
     );
     let (mut parts, whole) = edge::refuse::response(refusal, None).into_parts();
     drop(whole);
@@ -263,7 +267,8 @@
         let own = Instant::now() + own_wait;
         let arrived = timeout_at(until.min(own).into(), node.refilled.notified()).await;
         if arrived.is_err() && until <= own {
-            return Err(Refused::after(Refusal::OverRate, own_wait));
+            let refused = Refused::after(Refusal::OverRate, own_wait);
+            return Err(Refused { customer: Some(customer.clone()), ..refused });
         }
     }
 }
@@ -453,7 +458,7 @@
         let need = Need {
             repeatable: self.repeatable && self.reached == 0,
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
-            large_answer: size > LARGE_ANSWER_BYTES,
+            bytes: size as u64 + self.admitted.body.len() as u64 + HEAD_BYTES,
         };
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let index = place(&candidates, &need, &mut rng)?;
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -13,10 +13,16 @@
 
 /// Candidates drawn for one choice.
 const DRAWN: usize = 3;
-/// Added to the expected completion beyond the own data centre, for the bytes and the way.
+/// Added to the expected completion beyond the own data centre.
 const OTHER_CENTRE_PENALTY: Duration = Duration::from_millis(15);
+/// Added there for each kilobyte of request and answer.
+const OTHER_CENTRE_PENALTY_PER_KB: Duration = Duration::from_millis(3);
 /// Added in another region for the round trip.
 const OTHER_REGION_PENALTY: Duration = Duration::from_millis(60);
+/// Added there for each kilobyte; the link is narrow and paid by volume.
+const OTHER_REGION_PENALTY_PER_KB: Duration = Duration::from_millis(10);
+/// Sizes above this count as this.
+const MAX_KILOBYTES: u64 = 10_000;
 /// Part of a mean run that a fully used server costs more than an idle one.
 const USE_WEIGHT: f64 = 0.5;
 /// Chance that a repeatable request is used to test a suspect server that asks for it.
@@ -77,8 +83,8 @@
     pub repeatable: bool,
     /// Time left until its latency objective.
     pub objective_left: Duration,
-    /// Whether its answer is too large for the link between regions, unless nothing else is left.
-    pub large_answer: bool,
+    /// Expected bytes of the request and its answer.
+    pub bytes: u64,
 }
 
 /// Chooses a candidate; none only if there are none.
@@ -94,17 +100,18 @@
         return Some(index);
     }
     let sound = |c: &&Candidate| !c.suspect && c.reachable;
-    let near = draw(candidates.iter().filter(sound).filter(|c| c.distance < Distance::Beyond), rng);
-    let in_time = |c: &Candidate| completion(c) <= need.objective_left;
+    let bytes = need.bytes;
+    let is_near = |c: &&Candidate| c.distance < Distance::Beyond;
+    let near = draw(candidates.iter().filter(sound).filter(is_near), bytes, rng);
     if let Some(best) = near
-        && (in_time(best) || need.large_answer)
+        && completion(best, bytes) <= need.objective_left
     {
         return Some(best.index);
     }
-    let beyond = draw(candidates.iter().filter(sound).filter(|c| c.distance == Distance::Beyond), rng);
-    let best = [near, beyond].into_iter().flatten().min_by_key(|c| completion(c));
-    best.or_else(|| draw(candidates.iter().filter(|c| c.reachable && c.distance < Distance::Beyond), rng))
-        .or_else(|| draw(candidates.iter(), rng))
+    let beyond = draw(candidates.iter().filter(sound).filter(|c| !is_near(c)), bytes, rng);
+    let best = [near, beyond].into_iter().flatten().min_by_key(|c| completion(c, bytes));
+    best.or_else(|| draw(candidates.iter().filter(|c| c.reachable && is_near(c)), bytes, rng))
+        .or_else(|| draw(candidates.iter(), bytes, rng))
         .map(|c| c.index)
 }
 
@@ -125,7 +132,11 @@
 }
 
 /// Draws a few candidates and returns the one that is expected to finish first.
-fn draw<'a>(candidates: impl Iterator<Item = &'a Candidate>, rng: &mut impl Rng) -> Option<&'a Candidate> {
+fn draw<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    bytes: u64,
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate> {
     let mut drawn: SmallVec<[&Candidate; DRAWN]> = SmallVec::new();
     for (seen, candidate) in candidates.enumerate() {
         if candidate.distance == Distance::Own && seen > 0 {
@@ -142,22 +153,23 @@
             drawn[slot] = candidate;
         }
     }
-    drawn.into_iter().min_by_key(|c| completion(c))
+    drawn.into_iter().min_by_key(|c| completion(c, bytes))
 }
 
-/// Expected time until an answer, with penalties for the distance.
-pub fn completion(candidate: &Candidate) -> Duration {
+/// Expected time until an answer, with penalties for the distance that `bytes` have to go.
+pub fn completion(candidate: &Candidate, bytes: u64) -> Duration {
     let Load { running, waiting, slots, mean_run } = candidate.load;
     let slots = slots.max(1);
     let present = running + waiting;
     let queued = (present + 1).saturating_sub(slots);
     let wait = mean_run * queued / slots;
     let share = (f64::from(present) / f64::from(slots)).min(1.0);
+    let kilobytes = (bytes / 1_024).min(MAX_KILOBYTES) as u32;
     let penalty = match candidate.distance {
         Distance::Own => Duration::ZERO,
         Distance::Centre => Duration::from_millis(1),
-        Distance::Region => OTHER_CENTRE_PENALTY,
-        Distance::Beyond => OTHER_REGION_PENALTY,
+        Distance::Region => OTHER_CENTRE_PENALTY + OTHER_CENTRE_PENALTY_PER_KB * kilobytes,
+        Distance::Beyond => OTHER_REGION_PENALTY + OTHER_REGION_PENALTY_PER_KB * kilobytes,
     };
     penalty + wait + mean_run + mean_run.mul_f64(USE_WEIGHT * share)
 }
