Pool spare tokens in each data centre and share them between data centres

Change: daemons deposit what they don't need with one daemon of their data centre, chosen by rendezvous hashing; depositaries that run low ask those of other data centres.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -29,4 +29,4 @@
 mod times;
 
 pub use area::Limit;
-pub use split::{Split, Taken, Tolerance};
+pub use split::{Portion, Split, Taken, Tolerance};
--- a/crates/limit/src/split.rs
+++ b/crates/limit/src/split.rs
@@ -1,8 +1,10 @@
-//! One daemon's part of the customers' fleet-wide rates, with transfers between neighbours. Sans-I/O.
+//! One daemon's part of the customers' fleet-wide rates, with transfers between daemons. Sans-I/O.
 //!
-//! Answers the load pattern of a customer that suddenly sends many times its rate through all daemons: each
-//! daemon refills only its own part, so the sum never exceeds the rate, whatever messages are lost. A daemon
-//! that runs dry asks neighbours, which give away tokens that they hold; a lost gift is a lost token.
+//! Answers two load patterns. A customer that suddenly sends many times its rate through all daemons: each daemon
+//! refills only its own part, so the sum never exceeds the rate, whatever messages are lost; a lost gift is a lost
+//! token. A customer that sends a little through each of many daemons, or more in one data centre than in
+//! others: parts of a token are of no use, so daemons deposit what they don't need with one daemon of their data
+//! centre, which gives tokens out on demand and shares with the depositaries of other data centres.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -10,9 +12,20 @@
 
 use base::CustomerId;
 use conf::{Customer, Snapshot};
-
-/// Largest gift in tokens.
-const GIFT_TOKENS: f64 = 4.0;
+use serde::{Deserialize, Serialize};
+
+/// Tokens that a daemon gets at once from its depositary.
+const GIFT_TOKENS: f64 = 2.0;
+/// Tokens below which a depositary asks those of other data centres.
+const LOW_POOL_TOKENS: f64 = 3.0;
+/// Largest part of a rate's burst for which a daemon deposits everything.
+const SMALL_DEPTH_TOKENS: f64 = 2.0;
+/// Time without requests of a customer after which a daemon deposits all its tokens.
+const IDLE_AFTER: Duration = Duration::from_secs(1);
+/// Part of all tokens that daemons may hold by their own refill; the rest may lie with depositaries.
+const OWN_PART: f64 = 0.5;
+/// Smallest deposit in tokens.
+const MIN_DEPOSIT: f64 = 0.05;
 
 /// Tokens by which the fleet may pass a customer's rate and burst in one window of the operators.
 #[derive(Clone, Copy, Debug)]
@@ -24,15 +37,28 @@
 }
 
 /// Part of the tolerance that is given out; the rest covers tokens in flight and daemons that just joined.
-const GIVEN_OUT: f64 = 0.6;
+const GIVEN_OUT: f64 = 0.8;
 
 #[derive(Debug)]
 struct Bucket {
-    /// Tokens held; never above `depth` after a refill.
+    /// Tokens held; a refill stops at `depth`, gifts and deposits at `depth + pool`.
     tokens: f64,
     refilled: Instant,
     per_s: f64,
     depth: f64,
+    /// What a depositary may hold beyond its own part.
+    pool: f64,
+    /// When a request last asked for a token here.
+    wanted: Option<Instant>,
+}
+
+/// How much a daemon asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Portion {
+    /// What a few requests need.
+    Few,
+    /// Half of all, from one depositary to another.
+    Half,
 }
 
 /// Tokens of all customers at one daemon.
@@ -41,6 +67,8 @@
     buckets: HashMap<CustomerId, Bucket>,
     tolerance: Tolerance,
     daemons: u32,
+    /// Daemons of this data centre, this one included.
+    centre: u32,
 }
 
 /// Result of an attempt to take a token.
@@ -55,7 +83,7 @@
 impl Split {
     /// Makes an empty split among `daemons` daemons.
     pub fn new(tolerance: Tolerance, daemons: u32) -> Self {
-        Self { buckets: HashMap::new(), tolerance, daemons: daemons.max(1) }
+        Self { buckets: HashMap::new(), tolerance, daemons: daemons.max(1), centre: 1 }
     }
 
     /// Takes over rates of a new configuration. Tokens beyond a lowered burst are dropped at once.
@@ -67,12 +95,13 @@
         }
     }
 
-    /// Takes over the number of daemons that divide the rates.
-    pub fn set_daemons(&mut self, daemons: u32, snapshot: Option<&Snapshot>, now: Instant) {
-        if daemons == self.daemons || daemons == 0 {
+    /// Takes over the numbers of daemons that divide the rates, in all and in this data centre.
+    pub fn set_daemons(&mut self, daemons: u32, centre: u32, snapshot: Option<&Snapshot>, now: Instant) {
+        if (daemons, centre) == (self.daemons, self.centre) || daemons == 0 {
             return;
         }
         self.daemons = daemons;
+        self.centre = centre;
         if let Some(snapshot) = snapshot {
             self.set_rates(snapshot, now);
         }
@@ -84,6 +113,7 @@
             return Taken::Yes;
         };
         bucket.refill(now);
+        bucket.wanted = Some(now);
         if bucket.tokens >= 1.0 {
             bucket.tokens -= 1.0;
             return Taken::Yes;
@@ -92,48 +122,70 @@
         Taken::NotBefore(Duration::from_secs_f64((missing / bucket.per_s).min(60.0)))
     }
 
-    /// Whether less than one token is left for the next request.
-    pub fn is_low(&mut self, customer: &str, now: Instant) -> bool {
+    /// Whether less is left than the next request, or a depositary, needs.
+    pub fn is_low(&mut self, customer: &str, is_depositary: bool, now: Instant) -> bool {
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return false;
         };
         bucket.refill(now);
-        bucket.tokens < 1.0
+        bucket.tokens < if is_depositary { LOW_POOL_TOKENS } else { 1.0 }
     }
 
-    /// Gives tokens away; 0 if none can be spared.
-    pub fn give(&mut self, customer: &str, now: Instant) -> f64 {
+    /// Gives tokens away; 0 if there are none.
+    pub fn give(&mut self, customer: &str, portion: Portion, now: Instant) -> f64 {
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return 0.0;
         };
         bucket.refill(now);
-        // Less than a token is of no use here, but may complete one there.
-        let part = if bucket.tokens < 1.0 { bucket.tokens } else { bucket.tokens / 2.0 };
-        let gift = part.min(GIFT_TOKENS);
+        let gift = match portion {
+            Portion::Few => bucket.tokens.min(GIFT_TOKENS),
+            Portion::Half => bucket.tokens / 2.0,
+        };
         bucket.tokens -= gift;
         gift
     }
 
-    /// Takes in a gift of a neighbour.
+    /// Takes in a gift or a deposit.
     pub fn receive(&mut self, customer: &str, tokens: f64, now: Instant) {
         let Some(bucket) = self.buckets.get_mut(customer) else {
             return;
         };
         bucket.refill(now);
-        bucket.tokens += tokens.clamp(0.0, GIFT_TOKENS);
+        let room = (bucket.depth.max(1.0) + bucket.pool - bucket.tokens).max(0.0);
+        bucket.tokens += tokens.clamp(0.0, room);
+    }
+
+    /// Takes out what this daemon does not need for itself, for the depositaries of its data centre.
+    pub fn deposits(&mut self, is_depositary: impl Fn(&str) -> bool, now: Instant) -> Vec<(CustomerId, f64)> {
+        let mut out = Vec::new();
+        for (name, bucket) in &mut self.buckets {
+            if is_depositary(name) {
+                continue;
+            }
+            bucket.refill(now);
+            let is_idle = bucket.wanted.is_none_or(|at| now.saturating_duration_since(at) > IDLE_AFTER);
+            let is_spare = is_idle || bucket.depth < SMALL_DEPTH_TOKENS;
+            if is_spare && bucket.tokens >= MIN_DEPOSIT {
+                out.push((name.clone(), std::mem::take(&mut bucket.tokens)));
+            }
+        }
+        out
     }
 
     fn set_rate(&mut self, customer: &Arc<Customer>, now: Instant) {
         let part = 1.0 / f64::from(self.daemons);
         let extra = self.tolerance.part * customer.burst + self.tolerance.tokens;
-        let depth = (customer.burst + extra * GIVEN_OUT) * part;
+        let all = customer.burst + extra * GIVEN_OUT;
+        let depth = all * OWN_PART * part;
+        let pool = all * (1.0 - OWN_PART) * part * f64::from(self.centre);
         let per_s = customer.rate * part;
-        let empty = Bucket { tokens: 0.0, refilled: now, per_s, depth };
+        let empty = Bucket { tokens: 0.0, refilled: now, per_s, depth, pool, wanted: None };
         let bucket = self.buckets.entry(customer.name.clone()).or_insert(empty);
         bucket.refill(now);
         bucket.per_s = per_s;
         bucket.depth = depth;
-        bucket.tokens = bucket.tokens.min(depth);
+        bucket.pool = pool;
+        bucket.tokens = bucket.tokens.min(depth + pool);
     }
 }
 
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -33,6 +33,8 @@
 const MAX_SUSPECTS: usize = 3;
 /// Longest wait for a proof or tokens before a request is refused.
 const ADMIT_WAIT: Duration = Duration::from_millis(120);
+/// Pause before neighbours are asked for tokens again.
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
 /// Longest wait for a first server.
 const SERVER_WAIT: Duration = Duration::from_millis(150);
 /// Time past the deadline in which an answer still counts.
@@ -256,7 +258,7 @@
         let taken = node.split.borrow_mut().take(customer, Instant::now());
         let own_wait = match taken {
             Taken::Yes => {
-                if node.split.borrow_mut().is_low(customer, Instant::now()) {
+                if node.split.borrow_mut().is_low(customer, false, Instant::now()) {
                     gossip::ask_for_tokens(node, customer);
                 }
                 return Ok(());
@@ -264,9 +266,9 @@
             Taken::NotBefore(wait) => wait,
         };
         gossip::ask_for_tokens(node, customer);
-        let own = Instant::now() + own_wait;
-        let arrived = timeout_at(until.min(own).into(), node.refilled.notified()).await;
-        if arrived.is_err() && until <= own {
+        let next = Instant::now() + own_wait.min(ASK_INTERVAL);
+        let arrived = timeout_at(until.min(next).into(), node.refilled.notified()).await;
+        if arrived.is_err() && until <= next {
             let refused = Refused::after(Refusal::OverRate, own_wait);
             return Err(Refused { customer: Some(customer.clone()), ..refused });
         }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,10 +1,12 @@
 //! Datagrams between daemons: states, and tokens of customers.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use base::{CustomerId, DaemonId, event};
+use limit::Portion;
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
@@ -20,8 +22,10 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 1_400;
-/// Neighbours that are asked for tokens at the same time.
-const ASKED: usize = 2;
+/// Interval at which spare tokens are deposited.
+const DEPOSIT_INTERVAL: Duration = Duration::from_millis(300);
+/// Customers whose tokens fit one datagram.
+const MAX_GIFTS: usize = 32;
 
 /// The socket for datagrams, and what waits to be sent.
 #[derive(Debug)]
@@ -96,14 +100,17 @@
     let now = Instant::now();
     match datagram {
         Datagram::Status(status) => take_in_status(node, gossip, from, &status, now),
-        Datagram::Ask(customer) => {
-            let tokens = node.split.borrow_mut().give(&customer, now);
+        Datagram::Ask(customer, portion) => {
+            let tokens = node.split.borrow_mut().give(&customer, portion, now);
             if tokens > 0.0 {
-                gossip.send(from, &Datagram::Gift(customer, tokens));
+                gossip.send(from, &Datagram::Gifts(vec![(customer.clone(), tokens)]));
             }
+            refill_pool(node, gossip, &customer, now);
         }
-        Datagram::Gift(customer, tokens) => {
-            node.split.borrow_mut().receive(&customer, tokens, now);
+        Datagram::Gifts(gifts) => {
+            for (customer, tokens) in gifts {
+                node.split.borrow_mut().receive(&customer, tokens, now);
+            }
             node.refilled.notify_waiters();
         }
     }
@@ -138,15 +145,50 @@
     }
 }
 
-/// Asks neighbours of the data centre for tokens.
+/// Asks for tokens of a customer where they are deposited.
 pub fn ask_for_tokens(node: &Rc<Node>, customer: &CustomerId) {
     let Some(gossip) = node.gossip.borrow().clone() else {
         return;
     };
     let now = Instant::now();
+    let depositary = node.peers.borrow().depositary(customer, now);
+    if depositary == node.me.addr {
+        refill_pool(node, &gossip, customer, now);
+    } else {
+        gossip.send(depositary, &Datagram::Ask(customer.clone(), Portion::Few));
+    }
+}
+
+/// Asks another data centre's depositary for tokens if this daemon is one and has few left.
+fn refill_pool(node: &Node, gossip: &Gossip, customer: &CustomerId, now: Instant) {
+    let is_low = node.split.borrow_mut().is_low(customer, true, now);
     let peers = node.peers.borrow();
-    let near = peers.in_centre().filter(|p| peers.is_heard(&p.addr, now));
-    for peer in near.choose_multiple(&mut rand::rng(), ASKED) {
-        gossip.send(peer.addr, &Datagram::Ask(customer.clone()));
+    if !is_low || peers.depositary(customer, now) != node.me.addr || !node.may_refill(customer, now) {
+        return;
+    }
+    let others = peers.other_depositaries(customer);
+    if let Some(other) = others.into_iter().choose(&mut rand::rng()) {
+        gossip.send(other, &Datagram::Ask(customer.clone(), Portion::Half));
+    }
+}
+
+/// Deposits tokens that this daemon does not need.
+pub async fn deposit_tokens(node: Rc<Node>, gossip: Rc<Gossip>) {
+    loop {
+        sleep(DEPOSIT_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.2))).await;
+        let now = Instant::now();
+        let peers = node.peers.borrow();
+        let is_mine = |customer: &str| peers.depositary(customer, now) == node.me.addr;
+        let spare = node.split.borrow_mut().deposits(is_mine, now);
+        let mut by_depositary: HashMap<DaemonId, Vec<(CustomerId, f64)>> = HashMap::new();
+        for (customer, tokens) in spare {
+            let to = peers.depositary(&customer, now);
+            by_depositary.entry(to).or_default().push((customer, tokens));
+        }
+        for (to, gifts) in by_depositary {
+            for part in gifts.chunks(MAX_GIFTS) {
+                gossip.send(to, &Datagram::Gifts(part.to_vec()));
+            }
+        }
     }
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::{DaemonId, Place, ServiceId, Version, event};
+use base::{CustomerId, DaemonId, Place, ServiceId, Version, event};
 use conf::{KeyHasher, Snapshot};
 use limit::{Split, Tolerance};
 use route::Budget;
@@ -22,6 +22,8 @@
 use crate::names::Names;
 use crate::peers::{Incarnation, Peers, Status};
 
+/// Pause between two questions for tokens to other data centres.
+const REFILL_PAUSE: Duration = Duration::from_millis(60);
 /// Retries that a service's budget holds at first.
 const BUDGET_RESERVE: u32 = 1;
 /// Retries that a service's budget holds at most.
@@ -81,6 +83,8 @@
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) split: RefCell<Split>,
     pub(crate) answer_sizes: RefCell<AnswerSizes>,
+    /// When tokens of a customer were last asked for in another data centre.
+    refills: RefCell<HashMap<CustomerId, Instant>>,
     /// Set once datagrams can be sent.
     pub(crate) gossip: RefCell<Option<Rc<Gossip>>>,
     budgets: RefCell<HashMap<ServiceId, Budget>>,
@@ -113,6 +117,7 @@
             freshness: RefCell::default(),
             split: RefCell::new(Split::new(bounds.rate_tolerance, 1)),
             answer_sizes: RefCell::default(),
+            refills: RefCell::default(),
             gossip: RefCell::default(),
             budgets: RefCell::default(),
             is_stopping: Cell::new(false),
@@ -181,8 +186,11 @@
     /// Divides rates by the present number of daemons.
     pub fn count_members(&self) {
         let now = Instant::now();
-        let members = self.peers.borrow().members(now);
-        self.split.borrow_mut().set_daemons(members, self.conf().as_deref(), now);
+        let (members, centre) = {
+            let peers = self.peers.borrow();
+            (peers.members(now), peers.members_of_centre())
+        };
+        self.split.borrow_mut().set_daemons(members, centre, self.conf().as_deref(), now);
     }
 
     /// Requests of callers that are being served.
@@ -195,6 +203,16 @@
         CallerCount(Rc::clone(self))
     }
 
+    /// Whether tokens of a customer may be asked for in another data centre now.
+    pub(crate) fn may_refill(&self, customer: &str, now: Instant) -> bool {
+        let mut refills = self.refills.borrow_mut();
+        let is_soon = refills.get(customer).is_some_and(|at| now.duration_since(*at) < REFILL_PAUSE);
+        if !is_soon {
+            refills.insert(customer.into(), now);
+        }
+        !is_soon
+    }
+
     /// Counts a first try towards the retries that the service may get.
     pub(crate) fn earn_retry(&self, service: &str) {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use base::{CustomerId, DaemonId, Place, ServiceId, Version};
+use base::{CustomerId, DaemonId, Place, ServiceId, Version, rendezvous};
+use limit::Portion;
 use route::place::{Candidate, Distance, Load};
 use serde::{Deserialize, Serialize};
 
@@ -31,9 +32,9 @@
     /// State of the sender.
     Status(Status),
     /// Asks for tokens of a customer.
-    Ask(CustomerId),
-    /// Gives tokens of a customer away.
-    Gift(CustomerId, f64),
+    Ask(CustomerId, Portion),
+    /// Gives tokens of customers away.
+    Gifts(Vec<(CustomerId, f64)>),
 }
 
 /// State of a daemon.
@@ -254,6 +255,27 @@
         self.in_centre().filter(|p| p.addr < self.me && self.is_heard(&p.addr, now)).count()
     }
 
+    /// Daemon of this data centre with which tokens of a customer are deposited.
+    pub fn depositary(&self, customer: &str, now: Instant) -> DaemonId {
+        let heard = self.in_centre().map(|p| p.addr).filter(|addr| self.is_heard(addr, now));
+        rendezvous::owner(customer, heard.chain([self.me])).unwrap_or(self.me)
+    }
+
+    /// Depositaries of a customer in the other data centres.
+    pub fn other_depositaries(&self, customer: &str) -> Vec<DaemonId> {
+        let others = self.by_addr.values().filter(|p| p.place != self.place);
+        let mut by_place: HashMap<&Place, Vec<DaemonId>> = HashMap::new();
+        for peer in others {
+            by_place.entry(&peer.place).or_default().push(peer.addr);
+        }
+        by_place.values().filter_map(|addrs| rendezvous::owner(customer, addrs.iter().copied())).collect()
+    }
+
+    /// Number of daemons of this data centre, this one included.
+    pub fn members_of_centre(&self) -> u32 {
+        self.in_centre().count() as u32 + 1
+    }
+
     /// Addresses and candidates for work of `service`, but those in `tried`.
     pub fn candidates(
         &self,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -50,6 +50,7 @@
     spawn_local(listen::listen(Rc::clone(&node), sockets.callers, closing.clone()));
     spawn_local(gossip::receive(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_states(Rc::clone(&node), Rc::clone(&gossip)));
+    spawn_local(gossip::deposit_tokens(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(refresh::refresh(Rc::clone(&node), source));
     spawn_local(directory::keep(Rc::clone(&node), Rc::clone(&gossip), table));
     spawn_local(watch_changes(Rc::clone(&node)));
