Close callers' connections without resetting them, and answer all before the daemon ends

A connection that is closed with unread bytes is reset, which takes the answer under way with it; what still ran at the end of the grace time was cut. Change: a closed connection is read on for 0.5 s; the end waits for connections, not for requests; what still runs shortly before the end is answered: 503 if it was not handed on, 502 if it was.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -1,5 +1,6 @@
 //! The daemon that takes a caller's request: admits it, finds a server for it, answers.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -159,8 +160,14 @@
 
 async fn try_serve(node: &Rc<Node>, id: &str, req: Request<Incoming>) -> Result<Response<Body>, Refused> {
     let admitted = admit(node, req).await?;
-    let rep = Attempts::new(node, id, &admitted).run().await?;
-    Ok(rep)
+    let is_sent = Cell::new(false);
+    let attempts = Attempts::new(node, id, &admitted, &is_sent);
+    tokio::select! {
+        done = attempts.run() => done,
+        () = node.ending.cancelled() => {
+            Err(if is_sent.get() { Refusal::Broken } else { Refusal::Stopping }.into())
+        }
+    }
 }
 
 /// Finds the route, judges the key, takes a token and reads the body.
@@ -305,6 +312,8 @@
     node: &'a Rc<Node>,
     id: &'a str,
     admitted: &'a Admitted,
+    /// Whether an attempt is under way; its effect is not known.
+    is_sent: &'a Cell<bool>,
     repeatable: bool,
     /// Daemons that declined or failed it.
     tried: SmallVec<[DaemonId; 8]>,
@@ -323,11 +332,12 @@
 }
 
 impl<'a> Attempts<'a> {
-    fn new(node: &'a Rc<Node>, id: &'a str, admitted: &'a Admitted) -> Self {
+    fn new(node: &'a Rc<Node>, id: &'a str, admitted: &'a Admitted, is_sent: &'a Cell<bool>) -> Self {
         Self {
             node,
             id,
             admitted,
+            is_sent,
             repeatable: admitted.route.is_repeatable(admitted.head.method.as_str()),
             tried: SmallVec::new(),
             reached: 0,
@@ -348,12 +358,21 @@
         loop {
             let Some(to) = self.choose().await else { break };
             let sent_at = Instant::now();
+            self.is_sent.set(true);
             let outcome = self.attempt(to).await;
+            let is_declined = matches!(outcome, Outcome::Verdict(Verdict::Declined { .. }));
+            self.is_sent.set(!is_declined || self.unknown.is_some());
             let took_ms = sent_at.elapsed().as_millis();
             let reason = match outcome {
                 Outcome::Answer(rep) if !rep.status().is_server_error() || !self.repeatable => {
                     let status = rep.status().as_u16();
-                    event!(Info, RequestAnswered, "id={} to={to} status={status} took_ms={took_ms}", self.id);
+                    let customer = self.admitted.customer.as_deref().unwrap_or("-");
+                    let (id, route) = (self.id, &self.admitted.route.name);
+                    event!(
+                        Info,
+                        RequestAnswered,
+                        "id={id} route={route} customer={customer} to={to} status={status} took_ms={took_ms}"
+                    );
                     return Ok(rep);
                 }
                 Outcome::Answer(rep) => {
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -1,7 +1,7 @@
 //! Serves callers over HTTP/1.1 and closes their connections politely.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -13,25 +13,40 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
 use crate::entry;
 use crate::node::Node;
 
+/// Smallest bound on a head that hyper takes.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// Pause after an accept failed, e.g. for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Accepts callers until the daemon ends; `closing` asks for idle connections to be closed.
-pub async fn listen(node: Rc<Node>, listener: TcpListener, closing: CancellationToken) {
+/// Longest time for which a closed connection is still read, so that unread bytes don't reset it before the caller
+/// has its answer.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes read at once from a closed connection.
+const DISCARD_BYTES: usize = 4 * 1024;
+
+/// Accepts callers until the daemon ends and tracks their connections; `closing` asks for idle connections to be closed.
+pub async fn listen(
+    node: Rc<Node>,
+    listener: TcpListener,
+    connections: TaskTracker,
+    closing: CancellationToken,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 if let Err(e) = stream.set_nodelay(true) {
                     log::debug!("option of a caller's connection not set: {e}");
                 }
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream, closing.clone()));
+                connections.spawn_local(serve(Rc::clone(&node), stream, closing.clone()));
             }
             Err(e) => {
                 log::warn!("caller not accepted: {e}");
@@ -49,28 +64,44 @@
         .timer(TokioTimer::new())
         .auto_date_header(false)
         .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes.max(8 * 1024));
+        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
     let service = service_fn(|req| {
         let (node, ambiguous) = (Rc::clone(&node), Arc::clone(&ambiguous));
-        async move { Ok::<_, Infallible>(answer(node, &ambiguous, req).await) }
+        Box::pin(async move { Ok::<_, Infallible>(answer(node, &ambiguous, req).await) })
     });
     let io = TokioIo::new(Inspected::new(stream, Arc::clone(&ambiguous)));
-    let mut conn = pin!(builder.serve_connection(io, service));
+    let mut conn = builder.serve_connection(io, service);
     let mut is_closing = false;
     loop {
         tokio::select! {
-            ended = conn.as_mut() => {
+            ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => {
                 if let Err(e) = ended {
                     log::debug!("connection of a caller ended: {e}");
+                    return;
                 }
-                return;
+                break;
             }
             () = closing.cancelled(), if !is_closing => {
                 is_closing = true;
-                conn.as_mut().graceful_shutdown();
+                Pin::new(&mut conn).graceful_shutdown();
             }
         }
     }
+    linger(conn.into_parts().io.into_inner()).await;
+}
+
+/// Closes a connection and discards what its caller still sends.
+async fn linger(mut stream: Inspected) {
+    let work = async {
+        stream.shutdown().await?;
+        let mut buf = [0; DISCARD_BYTES];
+        while stream.read(&mut buf).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    match tokio::time::timeout(LINGER, work).await {
+        Ok(Ok(())) | Err(_) => {}
+        Ok(Err(e)) => log::debug!("connection of a caller broke while it was closed: {e}"),
+    }
 }
 
 async fn answer(node: Rc<Node>, ambiguous: &AtomicBool, req: Request<Incoming>) -> Response<Body> {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -11,6 +11,7 @@
 use limit::{Split, Tolerance};
 use route::Budget;
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::BootTime;
 use crate::entry::AnswerSizes;
@@ -78,6 +79,8 @@
     pub urgent: Notify,
     /// Woken when another daemon knows a newer configuration, or proofs have become old.
     pub stale: Notify,
+    /// Cancelled shortly before the daemon ends, whatever still runs.
+    pub ending: CancellationToken,
     /// Woken when tokens or proofs come in.
     pub refilled: Notify,
     pub(crate) freshness: RefCell<Freshness>,
@@ -113,6 +116,7 @@
             snapshot: watch::Sender::new(None),
             urgent: Notify::new(),
             stale: Notify::new(),
+            ending: CancellationToken::new(),
             refilled: Notify::new(),
             freshness: RefCell::default(),
             split: RefCell::new(Split::new(bounds.rate_tolerance, 1)),
@@ -144,6 +148,9 @@
         if is_newer {
             self.split.borrow_mut().set_rates(&snapshot, Instant::now());
             event!(Info, ConfigApplied, "version={version} routes={}", snapshot.routes().count());
+            for customer in snapshot.customers.values() {
+                log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
+            }
             self.snapshot.send_replace(Some(Arc::new(snapshot)));
             self.urgent.notify_one();
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,8 +7,9 @@
 use store::Table;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::gossip::Gossip;
 use crate::node::Node;
@@ -19,6 +20,8 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the daemon ends whatever still runs.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time before that at which requests without an answer get one of the daemon's own.
+const ANSWER_MARGIN: Duration = Duration::from_millis(350);
 /// Interval at which changes of the server beside the daemon are looked for.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a stop looks whether all work has ended.
@@ -47,7 +50,8 @@
     let gossip = Rc::new(Gossip::new(sockets.datagrams));
     node.gossip.replace(Some(Rc::clone(&gossip)));
     spawn_local(links::serve(Rc::clone(&node), sockets.handoffs));
-    spawn_local(listen::listen(Rc::clone(&node), sockets.callers, closing.clone()));
+    let connections = TaskTracker::new();
+    spawn_local(listen::listen(Rc::clone(&node), sockets.callers, connections.clone(), closing.clone()));
     spawn_local(gossip::receive(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_states(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::deposit_tokens(Rc::clone(&node), Rc::clone(&gossip)));
@@ -55,7 +59,7 @@
     spawn_local(directory::keep(Rc::clone(&node), Rc::clone(&gossip), table));
     spawn_local(watch_changes(Rc::clone(&node)));
     stop.cancelled().await;
-    end(&node, &gossip, &closing).await;
+    end(&node, &gossip, &connections, &closing).await;
 }
 
 /// Spreads changes of the server's state at once.
@@ -68,21 +72,27 @@
     }
 }
 
-async fn end(node: &Rc<Node>, gossip: &Gossip, closing: &CancellationToken) {
+async fn end(node: &Rc<Node>, gossip: &Gossip, connections: &TaskTracker, closing: &CancellationToken) {
     let end_by = Instant::now() + node.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let answer_by = end_by - ANSWER_MARGIN;
     let linger_until = Instant::now() + LINGER;
     event!(Info, DaemonStopping, "callers={} at_server={}", node.callers(), node.exit.load());
     node.stop();
     gossip::introduce(node, gossip);
-    while Instant::now() < linger_until {
-        sleep(STOP_INTERVAL).await;
-    }
+    sleep_until(linger_until.into()).await;
     node.exit.stop();
     closing.cancel();
-    while Instant::now() < end_by && node.callers() + node.exit.load() > 0 {
-        sleep(STOP_INTERVAL).await;
+    connections.close();
+    let idle = async {
+        connections.wait().await;
+        while node.exit.load() > 0 {
+            sleep(STOP_INTERVAL).await;
+        }
+    };
+    if timeout_at(answer_by.into(), idle).await.is_err() {
+        node.ending.cancel();
+        // Cut at `end_by`: the system would kill the daemon soon after.
+        let _ = timeout_at(end_by.into(), connections.wait()).await;
     }
-    // Lets the last answers reach their sockets.
-    sleep(STOP_INTERVAL).await;
     event!(Info, DaemonStopped, "callers={} at_server={}", node.callers(), node.exit.load());
 }
