Break off an overdue run only if another try is promised; test the way of requests over real sockets

Change: the order says whether a run may be broken off; the entry promises the next try for it, and never does so while it stops. 24 tests of requests through one and two daemons; the one for this fault, a_long_run_without_another_try_is_not_broken_off, fails with the safeguard taken out.

--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -396,7 +396,9 @@
             if self.reached >= self.admitted.route.attempts || Instant::now() >= self.admitted.deadline {
                 break;
             }
-            if !self.node.spend_retry(&self.admitted.service, reason) {
+            if reason == RetryReason::Silent {
+                self.node.spend_promised_retry(&self.admitted.service, reason);
+            } else if !self.node.spend_retry(&self.admitted.service, reason) {
                 break;
             }
         }
@@ -426,7 +428,9 @@
                 let refusal = if verdict == Verdict::Broken { Refusal::Broken } else { Refusal::TimedOut };
                 self.unknown = Some(refusal);
                 self.reached += 1;
-                if self.repeatable { Ok(RetryReason::Broken) } else { Err(refusal.into()) }
+                let reason =
+                    if verdict == Verdict::Broken { RetryReason::Broken } else { RetryReason::Silent };
+                if self.repeatable { Ok(reason) } else { Err(refusal.into()) }
             }
         }
     }
@@ -514,6 +518,13 @@
         addrs.push(me);
     }
 
+    /// Whether another try would follow if a run took too long.
+    fn may_break_off(&self) -> bool {
+        let has_attempts = self.reached + 1 < self.admitted.route.attempts;
+        let is_covered = self.node.covers_retry(&self.admitted.service, RetryReason::Silent);
+        self.repeatable && has_attempts && is_covered && !self.node.is_stopping()
+    }
+
     fn order(&self) -> Order {
         let now = Instant::now();
         Order {
@@ -524,6 +535,7 @@
             rank: self.admitted.rank,
             nested: self.admitted.route.open,
             repeatable: self.repeatable,
+            may_break_off: self.may_break_off(),
             insist: self.insist,
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
             deadline_left: self.admitted.deadline.saturating_duration_since(now),
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -423,7 +423,7 @@
         if overdue < last {
             exit.observe(Shown::Failure, Instant::now());
             let is_suspect = exit.state.borrow().gray.is_suspect(Instant::now());
-            if self.order.repeatable && is_suspect {
+            if self.order.may_break_off && is_suspect {
                 return Err(Verdict::Overdue);
             }
         }
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -33,6 +33,8 @@
     pub nested: bool,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether a run that takes far longer than expected may be broken off: another try is promised.
+    pub may_break_off: bool,
     /// Whether a suspect server shall run it all the same, for lack of another.
     pub insist: bool,
     /// Time left until its latency objective.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -231,6 +231,19 @@
         }
     }
 
+    /// Whether one more try at the service would be covered now.
+    pub(crate) fn covers_retry(&self, service: &str, reason: base::RetryReason) -> bool {
+        self.budgets.borrow().get(service).is_some_and(|b| b.covers(reason))
+    }
+
+    /// Spends the price of a try that was promised while it was covered.
+    pub(crate) fn spend_promised_retry(&self, service: &str, reason: base::RetryReason) {
+        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
+            budget.spend_promised(reason);
+            self.metrics.retries.with_label_values(&[reason.code()]).inc();
+        }
+    }
+
     /// Whether one more try at the service is covered; spends its price.
     pub(crate) fn spend_retry(&self, service: &str, reason: base::RetryReason) -> bool {
         let mut budgets = self.budgets.borrow_mut();
--- /dev/null
+++ b/crates/relay/tests/common/mod.rs
@@ -0,0 +1,465 @@
+//! Daemons and scripted backend servers on loopback, with a configuration that a test gives them.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use base::{Place, Version};
+use bytes::Bytes;
+use conf::compile::Pieces;
+use conf::{CallerLimits, Customer, Dedupe, Key, KeyHasher, Repeat, Route, Service, Snapshot};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use limit::Tolerance;
+use relay::clock::BootTime;
+use relay::exit::Exit;
+use relay::metrics::Metrics;
+use relay::names::Names;
+use relay::node::{Bounds, Me, Node};
+use relay::refresh::{Change, ConfigSource};
+use relay::registration::Heartbeat;
+use relay::run::{Sockets, run};
+use store::{Commit, MemStore, Row, StoreError, StoreOp, StoreRep, Table};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// Key of the only customer.
+pub const KEY: &str = "sacristan-2026";
+/// Service of all servers.
+pub const SERVICE: &str = "sacristia";
+/// Longest time for anything that a test waits for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a server does with a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// Answers as it should.
+    Answer,
+    /// Answers with an error of its own.
+    Fail,
+    /// Says that it did not run the request.
+    Shed,
+    /// Closes the connection after it has read the request.
+    Break,
+    /// Answers with the id of another request.
+    Cross,
+    /// Answers without its signature.
+    Unsigned,
+    /// Answers after this many milliseconds.
+    After(u64),
+    /// Never answers.
+    Hang,
+}
+
+/// A request as a server saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Head of the request.
+    pub headers: hyper::HeaderMap,
+    /// Its target.
+    pub target: String,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A scripted server.
+#[derive(Debug)]
+pub struct Backend {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// What it does with the next requests; the last one repeats.
+    pub acts: RefCell<Vec<Act>>,
+    /// Requests that it ran.
+    pub seen: RefCell<Vec<Seen>>,
+    /// Requests whose connection closed before their answer.
+    pub cancelled: Cell<u32>,
+}
+
+impl Backend {
+    /// Starts a server.
+    pub async fn start(acts: &[Act]) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("a bound address");
+        let acts = RefCell::new(acts.to_vec());
+        let backend = Rc::new(Self { addr, acts, seen: RefCell::default(), cancelled: Cell::new(0) });
+        let serving = Rc::clone(&backend);
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(Rc::clone(&serving).serve(stream));
+            }
+        });
+        backend
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        let service = service_fn(|req| Rc::clone(&self).answer(req));
+        // A connection that ends early is part of the script.
+        let _ =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    fn next_act(&self) -> Act {
+        let mut acts = self.acts.borrow_mut();
+        if acts.len() > 1 { acts.remove(0) } else { acts[0] }
+    }
+
+    async fn answer(self: Rc<Self>, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, std::io::Error> {
+        let (parts, body) = req.into_parts();
+        let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
+        let id = parts.headers.get("x-request-id").cloned();
+        let target = parts.uri.to_string();
+        let act = self.next_act();
+        if !matches!(act, Act::Shed) {
+            self.seen.borrow_mut().push(Seen { headers: parts.headers, target, body });
+        }
+        let guard = CancelGuard { backend: &self, is_answered: Cell::new(false) };
+        let mut rep = Response::new(Full::new(Bytes::from_static(b"whole")));
+        if let Some(id) = id {
+            rep.headers_mut().insert("x-request-id", id);
+        }
+        rep.headers_mut().insert("x-server-signature", "signed".parse().expect("a header value"));
+        match act {
+            Act::Answer => {}
+            Act::Fail => *rep.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR,
+            Act::Shed => {
+                *rep.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                rep.headers_mut().insert("x-not-run", "1".parse().expect("a header value"));
+            }
+            Act::Break => {
+                guard.is_answered.set(true);
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
+            Act::Cross => {
+                rep.headers_mut().insert("x-request-id", "another".parse().expect("a header value"));
+            }
+            Act::Unsigned => {
+                rep.headers_mut().remove("x-server-signature");
+            }
+            Act::After(ms) => sleep(Duration::from_millis(ms)).await,
+            Act::Hang => std::future::pending().await,
+        }
+        guard.is_answered.set(true);
+        Ok(rep)
+    }
+}
+
+struct CancelGuard<'a> {
+    backend: &'a Backend,
+    is_answered: Cell<bool>,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered.get() {
+            self.backend.cancelled.set(self.backend.cancelled.get() + 1);
+        }
+    }
+}
+
+/// The store's rows in memory.
+#[derive(Debug, Default)]
+pub struct Rows(Mutex<MemStore>);
+
+impl Rows {
+    fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).apply(op)
+    }
+}
+
+#[async_trait]
+impl Table for Rows {
+    async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
+        match self.apply(&StoreOp::Get { key: key.into() })? {
+            StoreRep::Row(row) => Ok(row),
+            _ => Err(StoreError::Down),
+        }
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Vec<(Box<str>, Row)>, StoreError> {
+        match self.apply(&StoreOp::Range { prefix: prefix.into() })? {
+            StoreRep::Rows(rows) => Ok(rows),
+            _ => Err(StoreError::Down),
+        }
+    }
+
+    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+        match self.apply(&StoreOp::Commit(commit.clone()))? {
+            StoreRep::Committed { version } => Ok(version),
+            _ => Err(StoreError::Down),
+        }
+    }
+}
+
+/// What all daemons of a test read: the configuration, and whether the source answers.
+#[derive(Debug)]
+pub struct Source {
+    /// Makes the newest configuration for a daemon's hasher.
+    pub make: Cell<fn(&KeyHasher) -> Snapshot>,
+    /// Whether the source answers.
+    pub is_up: Cell<bool>,
+}
+
+struct Reader {
+    source: Rc<Source>,
+    hasher: KeyHasher,
+}
+
+#[async_trait(?Send)]
+impl ConfigSource for Reader {
+    async fn watch(&mut self, known: Version, _wait: Duration) -> Result<Change, StoreError> {
+        let asked = BootTime::now();
+        sleep(Duration::from_millis(20)).await;
+        if !self.source.is_up.get() {
+            return Err(StoreError::Down);
+        }
+        let snapshot = (self.source.make.get())(&self.hasher);
+        let snapshot = (snapshot.version > known).then_some(snapshot);
+        Ok(Change { snapshot, proven_at: asked })
+    }
+}
+
+/// A daemon and the server beside it.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its state.
+    pub node: Rc<Node>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// The server.
+    pub backend: Rc<Backend>,
+    /// Stops it.
+    pub stop: CancellationToken,
+    /// Cancelled once it has ended.
+    pub ended: CancellationToken,
+}
+
+/// Daemons that share a store and a configuration.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// Their configuration.
+    pub source: Rc<Source>,
+}
+
+/// A fleet whose daemons know each other; one daemon for each script.
+pub async fn fleet(scripts: &[&[Act]], make: fn(&KeyHasher) -> Snapshot) -> Fleet {
+    let source = Rc::new(Source { make: Cell::new(make), is_up: Cell::new(true) });
+    let rows = Rc::new(Rows::default());
+    let mut daemons = Vec::new();
+    for (n, script) in scripts.iter().enumerate() {
+        let backend = Backend::start(script).await;
+        daemons.push(daemon(n as u64, backend, &source, &rows).await);
+    }
+    for daemon in &daemons {
+        daemon.register(1, false);
+    }
+    let fleet = Fleet { daemons, source };
+    fleet.settle().await;
+    fleet
+}
+
+async fn daemon(n: u64, backend: Rc<Backend>, source: &Rc<Source>, rows: &Rc<Rows>) -> Daemon {
+    let callers = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let (handoffs, datagrams) = bind_pair().await;
+    let names = Rc::new(Names::default());
+    let exit = Rc::new(Exit::new(Rc::clone(&names), backend.addr, Instant::now()));
+    let me = Me {
+        addr: handoffs.local_addr().expect("a bound address"),
+        incarnation: n + 1,
+        place: Place::new("meseta", "barva"),
+        service: SERVICE.into(),
+    };
+    let bounds = Bounds {
+        proof_age: Duration::from_secs(2),
+        grace: Duration::from_secs(6),
+        rate_tolerance: Tolerance { part: 0.1, tokens: 20.0 },
+    };
+    let hasher = KeyHasher::new(b"test");
+    let node = Rc::new(Node::new(me, names, bounds, exit, hasher.clone(), Metrics::default()));
+    let callers_addr = callers.local_addr().expect("a bound address");
+    let (stop, ended) = (CancellationToken::new(), CancellationToken::new());
+    let sockets = Sockets { callers, handoffs, datagrams };
+    let reader = Reader { source: Rc::clone(source), hasher };
+    let table: Rc<dyn Table> = Rc::clone(rows) as Rc<dyn Table>;
+    let running = run(Rc::clone(&node), sockets, reader, table, stop.clone());
+    let done = ended.clone();
+    spawn_local(async move {
+        running.await;
+        done.cancel();
+    });
+    Daemon { node, callers: callers_addr, backend, stop, ended }
+}
+
+async fn bind_pair() -> (TcpListener, UdpSocket) {
+    loop {
+        let tcp = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = tcp.local_addr().expect("a bound address");
+        // The same port may be taken for datagrams.
+        if let Ok(udp) = UdpSocket::bind(addr).await {
+            return (tcp, udp);
+        }
+    }
+}
+
+impl Daemon {
+    /// Sends a heartbeat of the server.
+    pub fn register(&self, sequence: u64, draining: bool) {
+        let heartbeat = Heartbeat {
+            id: format!("server-{}", self.node.me.incarnation).into(),
+            born: 1,
+            sequence,
+            service: SERVICE.into(),
+            slots: 2,
+            draining,
+            cold_for: Duration::ZERO,
+        };
+        self.node.exit.heartbeat(heartbeat, Instant::now());
+    }
+
+    /// Sends bytes on a new connection and reads until it closes or `until` has come.
+    pub async fn raw(&self, bytes: &str, until: &str) -> String {
+        let mut stream = TcpStream::connect(self.callers).await.expect("the daemon listens");
+        stream.write_all(bytes.as_bytes()).await.expect("the daemon reads");
+        read_until(&mut stream, until).await
+    }
+
+    /// Sends a GET with the key.
+    pub async fn get(&self, path: &str, id: &str) -> String {
+        self.raw(&request("GET", path, id, ""), "\r\n\r\n").await
+    }
+
+    /// Sends a POST with the key.
+    pub async fn post(&self, path: &str, id: &str) -> String {
+        self.raw(&request("POST", path, id, "one crate"), "\r\n\r\n").await
+    }
+
+    /// Requests that the server ran.
+    pub fn runs(&self) -> usize {
+        self.backend.seen.borrow().len()
+    }
+}
+
+/// A request with the key.
+pub fn request(method: &str, path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: a\r\nx-request-id: {id}\r\nx-api-key: {KEY}\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Reads until the connection closes or the text has come.
+pub async fn read_until(stream: &mut TcpStream, until: &str) -> String {
+    let mut text = Vec::new();
+    let mut buf = [0; 4096];
+    let work = async {
+        loop {
+            let len = stream.read(&mut buf).await.unwrap_or(0);
+            text.extend_from_slice(&buf[..len]);
+            if len == 0 || String::from_utf8_lossy(&text).contains(until) {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, work).await.expect("an answer");
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Status of an answer.
+pub fn status(rep: &str) -> u16 {
+    rep.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// Waits until something holds.
+pub async fn eventually(mut holds: impl FnMut() -> bool) {
+    let work = async {
+        while !holds() {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, work).await.expect("it holds in time");
+}
+
+impl Fleet {
+    /// Waits until all daemons know the configuration and each other's servers.
+    pub async fn settle(&self) {
+        let others = self.daemons.len() - 1;
+        eventually(|| {
+            self.daemons.iter().all(|d| {
+                let now = Instant::now();
+                let known = d.node.peers.borrow().candidates(SERVICE, &[], now).1;
+                d.node.is_fresh() && known.iter().filter(|c| c.reachable).count() == others
+            })
+        })
+        .await;
+    }
+
+    /// Requests that all servers ran.
+    pub fn runs(&self) -> usize {
+        self.daemons.iter().map(Daemon::runs).sum()
+    }
+}
+
+/// Runs a test on one thread.
+pub fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// A configuration: `/stock/` may be repeated, `/order/` may not, `/open/` needs no key.
+pub fn conf(hasher: &KeyHasher) -> Snapshot {
+    snapshot(hasher, 1, &[KEY], 1_000_000.0)
+}
+
+/// A configuration with these keys and this rate.
+pub fn snapshot(hasher: &KeyHasher, version: Version, keys: &[&str], rate: f64) -> Snapshot {
+    let key = |secret: &&str| Key {
+        name: (*secret).into(),
+        hash: hasher.hash(secret.as_bytes()),
+        customer: "parish".into(),
+        expires: None,
+    };
+    let pieces = Pieces {
+        services: vec![Service { name: SERVICE.into(), floor: 0.0, cross_region: true, queue: 100 }],
+        customers: vec![Customer { name: "parish".into(), rate, burst: rate, rank: None }],
+        keys: keys.iter().map(key).collect(),
+        routes: vec![
+            route("stock", Repeat::Always, false),
+            route("order", Repeat::Never, false),
+            route("open", Repeat::Always, true),
+        ],
+        limits: CallerLimits::default(),
+    };
+    pieces.into_snapshot(version).expect("the test's configuration is valid")
+}
+
+fn route(name: &str, repeatable: Repeat, open: bool) -> Route {
+    Route {
+        name: name.into(),
+        host: None,
+        prefix: format!("/{name}/").into(),
+        methods: Vec::new(),
+        service: SERVICE.into(),
+        customer: None,
+        open,
+        repeatable,
+        timeout: Duration::from_secs(5),
+        dedupe: Dedupe::Off,
+        cost: 1,
+        objective: Duration::from_millis(200),
+        attempts: 2,
+        rank: 1,
+        split: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/requests.rs
@@ -0,0 +1,252 @@
+//! A request's way through one or two daemons: what servers see, what callers get.
+
+#![allow(dead_code, reason = "shared helpers")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Act, KEY, conf, eventually, fleet, on_one_thread, request, snapshot, status};
+use conf::{KeyHasher, Snapshot};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+#[test]
+fn a_request_reaches_the_server_beside_the_daemon() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let rep = fleet.daemons[0].raw(&request("GET", "/stock/a?b=c&key=1", "r1", ""), "whole").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+        assert!(rep.contains("x-server-signature: signed"), "{rep}");
+        let seen = fleet.daemons[0].backend.seen.borrow()[0].clone();
+        assert_eq!(seen.target, "/stock/a?b=c&key=1");
+        assert_eq!(seen.headers["x-customer"], "parish");
+        assert_eq!(seen.headers["x-caller-service"], "sacristia");
+        assert_eq!(seen.headers["x-expected-server"], "server-1");
+        assert_eq!(seen.headers["x-request-id"], "r1");
+        assert!(seen.headers.values().all(|v| v != KEY));
+    });
+}
+
+#[test]
+fn a_request_reaches_the_server_beside_another_daemon() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        fleet.daemons[0].register(2, true);
+        let rep = fleet.daemons[0].raw(&request("POST", "/order/a", "r1", "one crate"), "whole").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+        assert_eq!(fleet.daemons[0].runs(), 0);
+        let seen = fleet.daemons[1].backend.seen.borrow()[0].clone();
+        assert_eq!(&seen.body[..], b"one crate");
+        assert_eq!(seen.headers["host"], "a");
+        assert_eq!(seen.headers["x-expected-server"], "server-2");
+        assert!(seen.headers.keys().all(|name| !name.as_str().starts_with("x-pomelo")));
+    });
+}
+
+#[rstest]
+#[case::no_route("GET /none/a HTTP/1.1\r\nhost: a\r\n\r\n", 404)]
+#[case::prefix_without_slash("GET /stock HTTP/1.1\r\nhost: a\r\n\r\n", 404)]
+#[case::no_key("GET /stock/a HTTP/1.1\r\nhost: a\r\n\r\n", 401)]
+#[case::unknown_key("GET /stock/a HTTP/1.1\r\nhost: a\r\nx-api-key: b\r\n\r\n", 401)]
+#[case::two_lengths(
+    "POST /open/a HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n12",
+    400
+)]
+#[case::length_and_chunks(
+    "POST /open/a HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    400
+)]
+fn a_request_that_may_not_run_is_refused(#[case] req: &str, #[case] expected: u16) {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let rep = fleet.daemons[0].raw(req, "\r\n\r\n").await;
+        assert_eq!(status(&rep), expected, "{rep}");
+        assert_eq!(fleet.runs(), 0);
+    });
+}
+
+#[test]
+fn what_a_caller_says_of_itself_is_replaced() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let forged = "GET /open/a HTTP/1.1\r\nhost: a\r\nx-request-id: r1\r\nx-customer: other\r\n\
+                      x-caller-service: other\r\nx-expected-server: other\r\n\r\n";
+        fleet.daemons[0].raw(forged, "whole").await;
+        let seen = fleet.daemons[0].backend.seen.borrow()[0].clone();
+        assert!(!seen.headers.contains_key("x-customer"));
+        assert_eq!(seen.headers["x-caller-service"], "sacristia");
+        assert_eq!(seen.headers["x-expected-server"], "server-1");
+    });
+}
+
+#[test]
+fn a_failed_repeatable_request_runs_at_another_server() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Fail], &[Act::Answer]], conf).await;
+        for n in 0..10 {
+            let rep = fleet.daemons[0].get("/stock/a", &format!("r{n}")).await;
+            assert_eq!(status(&rep), 200, "{rep}");
+        }
+        assert!(fleet.daemons[0].runs() > 0);
+    });
+}
+
+#[rstest]
+#[case::error(Act::Fail, 500)]
+#[case::broken(Act::Break, 502)]
+#[case::crossed(Act::Cross, 502)]
+#[case::unsigned(Act::Unsigned, 502)]
+fn a_failed_unrepeatable_request_runs_once(#[case] act: Act, #[case] expected: u16) {
+    on_one_thread(async {
+        let fleet = fleet(&[&[act], &[act]], conf).await;
+        let rep = fleet.daemons[0].post("/order/a", "r1").await;
+        assert_eq!(status(&rep), expected, "{rep}");
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
+#[test]
+fn a_shed_unrepeatable_request_runs_at_another_server() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Shed], &[Act::Answer]], conf).await;
+        for n in 0..4 {
+            let rep = fleet.daemons[0].post("/order/a", &format!("r{n}")).await;
+            assert_eq!(status(&rep), 200, "{rep}");
+        }
+        assert_eq!(fleet.daemons[1].runs(), 4);
+    });
+}
+
+#[test]
+fn a_request_that_every_server_sheds_is_refused_as_not_run() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Shed], &[Act::Shed]], conf).await;
+        let rep = fleet.daemons[0].post("/order/a", "r1").await;
+        assert_eq!(status(&rep), 503, "{rep}");
+        assert!(rep.contains("retry-after"), "{rep}");
+        assert_eq!(fleet.runs(), 0);
+    });
+}
+
+#[test]
+fn a_long_run_without_another_try_is_not_broken_off() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(1_500)]], conf).await;
+        let daemon = &fleet.daemons[0];
+        // The first overdue runs make the server suspect; the single server leaves no other try.
+        for n in 0..2 {
+            let rep = daemon.get("/open/a", &format!("r{n}")).await;
+            assert_eq!(status(&rep), 200, "{rep}");
+        }
+        assert_eq!(daemon.backend.cancelled.get(), 0);
+    });
+}
+
+#[test]
+fn the_server_is_free_once_the_caller_has_left() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Hang]], conf).await;
+        fleet.daemons[0].register(2, true);
+        let mut stream = TcpStream::connect(fleet.daemons[0].callers).await.expect("the daemon listens");
+        stream.write_all(request("POST", "/order/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        eventually(|| fleet.daemons[1].runs() == 1).await;
+        drop(stream);
+        eventually(|| fleet.daemons[1].backend.cancelled.get() == 1).await;
+        eventually(|| fleet.daemons[1].node.exit.load() == 0).await;
+    });
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_order() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(30), Act::Answer]], conf).await;
+        let three: String = (1..4).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let rep = fleet.daemons[0].raw(&three, "x-request-id: r3").await;
+        let at = |id: &str| rep.find(&format!("x-request-id: {id}"));
+        assert!(at("r1").is_some() && at("r1") < at("r2") && at("r2") < at("r3"), "{rep}");
+    });
+}
+
+fn without_keys(hasher: &KeyHasher) -> Snapshot {
+    snapshot(hasher, 2, &[], 1_000_000.0)
+}
+
+#[test]
+fn a_withdrawn_key_stops_working() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        fleet.source.make.set(without_keys);
+        eventually(|| fleet.daemons.iter().all(|d| d.node.version() == 2)).await;
+        for daemon in &fleet.daemons {
+            assert_eq!(status(&daemon.get("/stock/a", "r1").await), 401);
+        }
+        assert_eq!(fleet.runs(), 0);
+    });
+}
+
+#[test]
+fn keys_are_not_judged_without_a_proof() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        fleet.source.is_up.set(false);
+        let daemon = &fleet.daemons[0];
+        eventually(|| !daemon.node.is_fresh()).await;
+        assert_eq!(status(&daemon.get("/stock/a", "r1").await), 503);
+        assert_eq!(status(&daemon.get("/open/a", "r2").await), 200);
+        fleet.source.is_up.set(true);
+        eventually(|| daemon.node.is_fresh()).await;
+        assert_eq!(status(&daemon.get("/stock/a", "r3").await), 200);
+    });
+}
+
+fn slow_rate(hasher: &KeyHasher) -> Snapshot {
+    snapshot(hasher, 1, &[KEY], 0.001)
+}
+
+#[test]
+fn a_customer_beyond_its_rate_is_refused_as_not_run() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], slow_rate).await;
+        let rep = fleet.daemons[0].get("/stock/a", "r1").await;
+        assert_eq!(status(&rep), 429, "{rep}");
+        assert_eq!(fleet.runs(), 0);
+    });
+}
+
+#[test]
+fn a_graceful_stop_answers_what_was_accepted() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(800)], &[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        fleet.daemons[1].register(2, true);
+        eventually(|| {
+            let now = std::time::Instant::now();
+            daemon.node.peers.borrow().candidates("sacristia", &[], now).0.is_empty()
+        })
+        .await;
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(request("POST", "/order/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 1).await;
+        daemon.stop.cancel();
+        let rep = common::read_until(&mut stream, "whole").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+        assert!(rep.contains("connection: close"), "{rep}");
+        let ended = tokio::time::timeout(Duration::from_secs(10), daemon.ended.cancelled()).await;
+        assert!(ended.is_ok());
+    });
+}
+
+#[test]
+fn a_draining_server_gets_nothing_more() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        fleet.daemons[1].register(2, true);
+        for n in 0..10 {
+            let rep = fleet.daemons[0].post("/order/a", &format!("r{n}")).await;
+            assert_eq!(status(&rep), 200, "{rep}");
+        }
+        assert_eq!(fleet.daemons[1].runs(), 0);
+    });
+}
