Exchange states within a data centre and with few partners beyond it

Change: names only in introductions, which two daemons of each other data centre spread; states to the data centre, and once a second to about 6 daemons of each service beyond it, chosen by a hash that both sides share.

--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use rustix::time::{ClockId, clock_gettime};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// A moment, as the time since the instance was booted, suspensions included.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootTime(Duration);
 
 impl BootTime {
@@ -36,3 +36,16 @@
         Self(self.0 + wait)
     }
 }
+
+/// Travels in whole milliseconds, rounded down: an age that is counted from it is never too short.
+impl Serialize for BootTime {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(self.0.as_millis() as u64)
+    }
+}
+
+impl<'de> Deserialize<'de> for BootTime {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        u64::deserialize(deserializer).map(|ms| Self(Duration::from_millis(ms)))
+    }
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -57,25 +57,19 @@
 }
 
 async fn introduce(node: &Node, gossip: &Gossip) {
-    for _ in 0..INTRODUCTIONS {
-        gossip::introduce(node, gossip);
+    for round in 0..INTRODUCTIONS {
+        gossip::introduce(node, gossip, round == 0);
         sleep(INTRODUCTION_PAUSE).await;
     }
 }
 
 /// The row is put without a condition: a successor on the same address replaces its predecessor's.
 async fn write_own(node: &Node, table: &dyn Table) -> Result<(), StoreError> {
-    let me = &node.me;
-    let listed = Listed {
-        addr: me.addr,
-        incarnation: me.incarnation,
-        place: me.place.clone(),
-        service: me.service.clone(),
-    };
+    let listed = node.listed();
     let text =
         serde_json::to_string(&listed).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
     let commit =
-        Commit { checks: Vec::new(), writes: vec![Write::put(&format!("{PREFIX}{}", me.addr), &text)] };
+        Commit { checks: Vec::new(), writes: vec![Write::put(&format!("{PREFIX}{}", node.me.addr), &text)] };
     table.commit(&commit).await.map(|_version| ())
 }
 
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -54,6 +54,15 @@
 /// Slots of a server before its first heartbeat.
 const FIRST_SLOTS: usize = 1;
 
+/// What others should learn of at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Changed {
+    /// The server came, or is leaving.
+    Membership,
+    /// The server is thought to fail, or no longer.
+    Health,
+}
+
 #[derive(Debug)]
 struct State {
     registration: Registration,
@@ -87,7 +96,7 @@
     pool: Pool,
     state: RefCell<State>,
     /// Set when the report has changed in a way that others should learn of at once.
-    changed: Cell<bool>,
+    changed: Cell<Option<Changed>>,
     is_stopping: Cell<bool>,
 }
 
@@ -106,7 +115,7 @@
             last_offer: now,
             shed: 0.0,
         };
-        let (changed, is_stopping) = (Cell::new(false), Cell::new(false));
+        let (changed, is_stopping) = (Cell::new(None), Cell::new(false));
         Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, is_stopping }
     }
 
@@ -135,7 +144,9 @@
         if draining && !was_draining {
             event!(Info, ServerLeaving, "server={id} born={born} sequence={sequence}");
         }
-        self.changed.set(self.changed.get() || noted == Noted::Registered || draining != was_draining);
+        if noted == Noted::Registered || draining != was_draining {
+            self.changed.set(Some(Changed::Membership));
+        }
         if draining {
             send_away(&mut state);
         }
@@ -149,13 +160,18 @@
         if state.registration.leave(id, wall_ms) {
             event!(Info, ServerLeaving, "server={id} outcome=left");
             send_away(&mut state);
-            self.changed.set(true);
+            self.changed.set(Some(Changed::Membership));
         }
     }
 
     /// Whether the report has changed since the last call in a way that others should learn of at once.
-    pub fn take_changed(&self) -> bool {
-        self.changed.replace(false)
+    pub fn take_changed(&self) -> Option<Changed> {
+        self.changed.take()
+    }
+
+    fn note_health_change(&self) {
+        let known = self.changed.get();
+        self.changed.set(Some(known.unwrap_or(Changed::Health)));
     }
 
     /// Takes no new work from now on.
@@ -297,7 +313,7 @@
         let mut state = self.state.borrow_mut();
         state.down_until = Some(now + DOWN_PAUSE);
         state.gray.observe(Shown::Failure, now);
-        self.changed.set(true);
+        self.note_health_change();
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
@@ -319,7 +335,7 @@
         if was_suspect == is_suspect {
             return;
         }
-        self.changed.set(true);
+        self.note_health_change();
         let failing = state.gray.failing(now);
         let server = state.registration.server().map(|s| s.heartbeat.id.clone()).unwrap_or_default();
         if is_suspect {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -10,14 +10,16 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::clock::BootTime;
 use crate::node::Node;
-use crate::peers::{Datagram, Status};
+use crate::peers::{Datagram, Hello, Listed, Status};
 
-/// Interval of states to each daemon of the region.
+/// Interval of states to each daemon of the data centre.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+/// Intervals between two states to a partner in another data centre.
+const PARTNER_TICKS: u32 = 2;
 /// Shortest time between two states.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 /// Largest datagram.
@@ -51,33 +53,69 @@
     }
 }
 
-/// Sends states to the region at intervals, and at once when something urgent changed.
+/// Sends states to the data centre at each interval, to partners beyond it at each second one, and at once
+/// when something changed.
 pub async fn send_states(node: Rc<Node>, gossip: Rc<Gossip>) {
+    let mut tick = 0_u32;
     loop {
         let wait = STATUS_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1));
-        let is_urgent = timeout(wait, node.urgent.notified()).await.is_ok();
-        send_all(&node, &gossip, false);
-        if is_urgent {
-            sleep(MIN_INTERVAL).await;
+        let to_partners = tokio::select! {
+            () = node.urgent.notified() => true,
+            () = node.changed.notified() => false,
+            () = sleep(wait) => {
+                tick += 1;
+                tick.is_multiple_of(PARTNER_TICKS)
+            }
+        };
+        send_to_centre(&node, &gossip);
+        if to_partners {
+            send_to_partners(&node, &gossip);
         }
+        sleep(MIN_INTERVAL).await;
     }
 }
 
-fn send_all(node: &Node, gossip: &Gossip, wants_answer: bool) {
-    let addrs: Vec<DaemonId> = node.peers.borrow().in_region().map(|p| p.addr).collect();
+fn send_to_centre(node: &Node, gossip: &Gossip) {
+    let addrs: Vec<DaemonId> = node.peers.borrow().in_centre().map(|p| p.addr).collect();
     for to in addrs {
-        gossip.send(to, &Datagram::Status(node.status(&to, wants_answer)));
+        gossip.send(to, &Datagram::Status(node.status(&to)));
     }
 }
 
-/// Introduces this daemon to all others, of other regions too.
-pub fn introduce(node: &Node, gossip: &Gossip) {
-    let addrs: Vec<DaemonId> = node.peers.borrow().all().map(|p| p.addr).collect();
+fn send_to_partners(node: &Node, gossip: &Gossip) {
+    let addrs = node.peers.borrow().partners(&node.service());
     for to in addrs {
-        gossip.send(to, &Datagram::Status(node.status(&to, true)));
+        gossip.send(to, &Datagram::Status(node.status(&to)));
+    }
+}
+
+/// Introduces this daemon to its data centre and partners that it has not heard, and at first to some daemons of
+/// each other data centre, which spread it there.
+pub fn introduce(node: &Node, gossip: &Gossip, is_first: bool) {
+    let now = Instant::now();
+    let (near, far) = {
+        let peers = node.peers.borrow();
+        let mut near = peers.partners(&node.service());
+        near.extend(peers.in_centre().map(|p| p.addr));
+        near.retain(|addr| !peers.is_heard(addr, now));
+        (near, peers.ambassadors())
+    };
+    for to in near {
+        gossip.send(to, &Datagram::Hello(node.hello(&to, true, false)));
+    }
+    if is_first {
+        for to in far {
+            gossip.send(to, &Datagram::Hello(node.hello(&to, false, true)));
+        }
     }
 }
 
+/// Tells all who get this daemon's state of a change at once.
+pub fn announce(node: &Node, gossip: &Gossip) {
+    send_to_centre(node, gossip);
+    send_to_partners(node, gossip);
+}
+
 /// Takes in datagrams.
 pub async fn receive(node: Rc<Node>, gossip: Rc<Gossip>) {
     let mut buf = [0; MAX_DATAGRAM];
@@ -99,34 +137,70 @@
 fn take_in(node: &Rc<Node>, gossip: &Gossip, from: SocketAddr, datagram: Datagram) {
     let now = Instant::now();
     match datagram {
-        Datagram::Status(status) => take_in_status(node, gossip, from, &status, now),
+        Datagram::Hello(hello) => take_in_hello(node, gossip, from, hello, now),
+        Datagram::Status(status) => {
+            if node.peers.borrow_mut().note_status(from, &status, now) {
+                take_over(node, &status);
+            } else {
+                gossip.send(from, &Datagram::Hello(node.hello(&from, true, false)));
+            }
+        }
+        Datagram::Listed(listed) => note_listed(node, listed, now),
         Datagram::Ask(customer, portion) => {
             let tokens = node.split.borrow_mut().give(&customer, portion, now);
             if tokens > 0.0 {
-                gossip.send(from, &Datagram::Gifts(vec![(customer.clone(), tokens)]));
+                gossip.send(from, &Datagram::Gifts(vec![(customer.clone(), tokens as f32)]));
             }
             refill_pool(node, gossip, &customer, now);
         }
         Datagram::Gifts(gifts) => {
             for (customer, tokens) in gifts {
-                node.split.borrow_mut().receive(&customer, tokens, now);
+                node.split.borrow_mut().receive(&customer, f64::from(tokens), now);
             }
             node.refilled.notify_waiters();
         }
     }
 }
 
-fn take_in_status(node: &Rc<Node>, gossip: &Gossip, from: SocketAddr, status: &Status, now: Instant) {
-    let is_new = node.peers.borrow_mut().note_status(from, status, now);
+fn take_in_hello(node: &Rc<Node>, gossip: &Gossip, from: SocketAddr, hello: Hello, now: Instant) {
+    let (wants_answer, spread) = (hello.wants_answer, hello.spread);
+    let (listed, status) = (hello.listed.clone(), hello.status.clone());
+    let is_new = node.peers.borrow_mut().note_hello(from, hello, now);
     if is_new {
-        let place = &status.place;
-        let (region, centre) = (&place.region, &place.data_centre);
-        event!(Info, MemberUp, "daemon={from} incarnation={} place={region}/{centre}", status.incarnation);
-        node.count_members();
+        note_member(node, &listed);
+    }
+    if spread {
+        let addrs: Vec<DaemonId> = node.peers.borrow().in_centre().map(|p| p.addr).collect();
+        for to in addrs {
+            gossip.send(to, &Datagram::Listed(listed.clone()));
+        }
+    }
+    if wants_answer {
+        gossip.send(from, &Datagram::Hello(node.hello(&from, false, false)));
     }
-    if is_new || status.wants_answer {
-        gossip.send(from, &Datagram::Status(node.status(&from, false)));
+    take_over(node, &status);
+}
+
+fn note_listed(node: &Rc<Node>, listed: Listed, now: Instant) {
+    let is_new = node.peers.borrow_mut().note_listed(listed.clone(), now);
+    if is_new {
+        note_member(node, &listed);
     }
+}
+
+fn note_member(node: &Node, listed: &Listed) {
+    let Listed { addr, incarnation, place, service } = listed;
+    let (region, centre) = (&place.region, &place.data_centre);
+    event!(
+        Info,
+        MemberUp,
+        "daemon={addr} incarnation={incarnation} place={region}/{centre} service={service}"
+    );
+    node.count_members();
+}
+
+/// Takes over what another daemon knows of the configuration.
+fn take_over(node: &Node, status: &Status) {
     if status.version > node.version() {
         node.stale.notify_one();
     } else {
@@ -137,11 +211,11 @@
 /// The sender's proof held when it had taken in our last state, so its age counts from that state's sending:
 /// an answer that waited while this instance was suspended proves no more than it should.
 fn take_over_proof(node: &Node, status: &Status) {
-    let (Some(age), Some(echo)) = (status.proof_age, status.echo) else {
+    let (Some(age_ms), Some(echo)) = (status.proof_age_ms, status.echo) else {
         return;
     };
     if echo <= BootTime::now() {
-        node.confirm(status.version, echo.before(age));
+        node.confirm(status.version, echo.before(Duration::from_millis(u64::from(age_ms))));
     }
 }
 
@@ -180,10 +254,10 @@
         let peers = node.peers.borrow();
         let is_mine = |customer: &str| peers.depositary(customer, now) == node.me.addr;
         let spare = node.split.borrow_mut().deposits(is_mine, now);
-        let mut by_depositary: HashMap<DaemonId, Vec<(CustomerId, f64)>> = HashMap::new();
+        let mut by_depositary: HashMap<DaemonId, Vec<(CustomerId, f32)>> = HashMap::new();
         for (customer, tokens) in spare {
             let to = peers.depositary(&customer, now);
-            by_depositary.entry(to).or_default().push((customer, tokens));
+            by_depositary.entry(to).or_default().push((customer, tokens as f32));
         }
         for (to, gifts) in by_depositary {
             for part in gifts.chunks(MAX_GIFTS) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -21,7 +21,7 @@
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Incarnation, Peers, Status};
+use crate::peers::{Hello, Incarnation, Listed, Peers, Status};
 
 /// Pause between two questions for tokens to other data centres.
 const REFILL_PAUSE: Duration = Duration::from_millis(60);
@@ -75,8 +75,10 @@
     pub hasher: KeyHasher,
     /// Configuration in force; tasks that wait for one are woken.
     pub snapshot: watch::Sender<Option<Arc<Snapshot>>>,
-    /// Woken when the status should be sent at once.
+    /// Woken when the state should be sent at once to all who get it.
     pub urgent: Notify,
+    /// Woken when it should be sent at once in this data centre.
+    pub changed: Notify,
     /// Woken when another daemon knows a newer configuration, or proofs have become old.
     pub stale: Notify,
     /// Cancelled shortly before the daemon ends, whatever still runs.
@@ -115,6 +117,7 @@
             hasher,
             snapshot: watch::Sender::new(None),
             urgent: Notify::new(),
+            changed: Notify::new(),
             stale: Notify::new(),
             ending: CancellationToken::new(),
             refilled: Notify::new(),
@@ -254,24 +257,43 @@
         covered
     }
 
-    /// Status for the daemon at `to`.
-    pub fn status(&self, to: &DaemonId, wants_answer: bool) -> Status {
+    /// State for the daemon at `to`.
+    pub fn status(&self, to: &DaemonId) -> Status {
         let now = Instant::now();
         let mut report = self.exit.report(now);
         report.takes_work &= !self.is_stopping.get();
+        let peers = self.peers.borrow();
         Status {
             incarnation: self.me.incarnation,
-            place: self.me.place.clone(),
-            service: self.exit.service().or_else(|| Some(self.me.service.clone())),
             report,
             version: self.version(),
-            proof_age: self.proof_age(),
+            proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32 + 1),
             sent_at: BootTime::now(),
-            echo: self.peers.borrow().said_at(to),
-            hears_you: self.peers.borrow().is_heard(to, now),
-            wants_answer,
+            echo: peers.said_at(to),
+            hears_you: peers.is_heard(to, now),
         }
     }
+
+    /// Introduction for the daemon at `to`.
+    pub fn hello(&self, to: &DaemonId, wants_answer: bool, spread: bool) -> Hello {
+        Hello { listed: self.listed(), status: self.status(to), wants_answer, spread }
+    }
+
+    /// What others need to know of this daemon.
+    pub fn listed(&self) -> Listed {
+        let me = &self.me;
+        Listed {
+            addr: me.addr,
+            incarnation: me.incarnation,
+            place: me.place.clone(),
+            service: self.service(),
+        }
+    }
+
+    /// Service of the server beside this daemon, or the one that is expected there.
+    pub fn service(&self) -> ServiceId {
+        self.exit.service().unwrap_or_else(|| self.me.service.clone())
+    }
 }
 
 /// Counts a request while it is served.
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -12,10 +12,16 @@
 use crate::clock::BootTime;
 use crate::handoff::Report;
 
-/// Silence after which a daemon of the region is not given work.
+/// Silence after which a daemon of the data centre is not given work.
 const SILENT_AFTER: Duration = Duration::from_millis(1_600);
-/// Silence after which a daemon of the region no longer counts as a member.
-const GONE_AFTER: Duration = Duration::from_secs(30);
+/// Silence after which one of another data centre is not; they speak half as often.
+const FAR_SILENT_AFTER: Duration = Duration::from_millis(2_600);
+/// Daemons of each service in other data centres of the region with which states are exchanged, on average.
+const PARTNERS: f64 = 6.0;
+/// Time without a sign of a daemon of the region, or its row, after which it no longer counts as a member.
+const GONE_AFTER: Duration = Duration::from_secs(90);
+/// Daemons of each other data centre to which a new one introduces itself.
+const AMBASSADORS: usize = 2;
 /// Pause after a failed hand-off before a daemon is tried again.
 const PATH_PAUSE: Duration = Duration::from_millis(1_500);
 /// Mean run of a server of which no report is known.
@@ -29,12 +35,29 @@
 /// A message between daemons, in one datagram.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Datagram {
-    /// State of the sender.
+    /// Introduces the sender.
+    Hello(Hello),
+    /// State of the sender, which the receiver knows.
     Status(Status),
+    /// Introduces another daemon.
+    Listed(Listed),
     /// Asks for tokens of a customer.
     Ask(CustomerId, Portion),
     /// Gives tokens of customers away.
-    Gifts(Vec<(CustomerId, f64)>),
+    Gifts(Vec<(CustomerId, f32)>),
+}
+
+/// Who a daemon is, and its state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender.
+    pub listed: Listed,
+    /// Its state.
+    pub status: Status,
+    /// Whether the receiver should answer at once.
+    pub wants_answer: bool,
+    /// Whether the receiver should introduce the sender to its data centre.
+    pub spread: bool,
 }
 
 /// State of a daemon.
@@ -42,24 +65,18 @@
 pub struct Status {
     /// Process that speaks.
     pub incarnation: Incarnation,
-    /// Where it stands.
-    pub place: Place,
-    /// Service of the server beside it, if one is registered.
-    pub service: Option<ServiceId>,
-    /// State of that server.
+    /// State of the server beside it.
     pub report: Report,
     /// Version of the configuration in force.
     pub version: Version,
-    /// Age of the proof that no newer one exists.
-    pub proof_age: Option<Duration>,
+    /// Age in milliseconds of the proof that no newer one exists.
+    pub proof_age_ms: Option<u32>,
     /// Moment of sending, on the sender's clock.
     pub sent_at: BootTime,
     /// `sent_at` of the last state of the receiver that the sender had taken in before.
     pub echo: Option<BootTime>,
     /// Whether the sender has heard the receiver lately.
     pub hears_you: bool,
-    /// Whether the receiver should answer at once.
-    pub wants_answer: bool,
 }
 
 /// A daemon as its row in the store describes it.
@@ -82,7 +99,7 @@
     pub addr: DaemonId,
     incarnation: Incarnation,
     place: Place,
-    service: Option<ServiceId>,
+    service: ServiceId,
     report: Option<Report>,
     /// Own hand-offs under way since the last report.
     pending: u32,
@@ -98,7 +115,6 @@
 impl Peer {
     fn new(listed: Listed, now: Instant) -> Self {
         let Listed { addr, incarnation, place, service } = listed;
-        let service = Some(service);
         Self {
             addr,
             incarnation,
@@ -163,34 +179,39 @@
         }
     }
 
-    /// Takes in a daemon's status; true if its process was not known.
+    /// Takes in a daemon's introduction; true if its process was not known.
+    pub fn note_hello(&mut self, from: DaemonId, hello: Hello, now: Instant) -> bool {
+        let Hello { listed, status, .. } = hello;
+        let service = listed.service.clone();
+        let is_new = self.note_listed(Listed { addr: from, ..listed }, now);
+        if let Some(peer) = self.by_addr.get_mut(&from).filter(|p| p.incarnation == status.incarnation) {
+            peer.service = service;
+        }
+        self.note_status(from, &status, now);
+        is_new
+    }
+
+    /// Takes in a daemon's state; false if its process is not known.
     pub fn note_status(&mut self, from: DaemonId, status: &Status, now: Instant) -> bool {
-        if from == self.me {
-            return false;
+        let Some(peer) = self.by_addr.get_mut(&from) else {
+            return from == self.me;
+        };
+        if status.incarnation < peer.incarnation {
+            // A datagram of an earlier process that was late.
+            return true;
         }
-        let known = self.by_addr.get(&from).map(|peer| peer.incarnation);
-        if known.is_some_and(|incarnation| status.incarnation < incarnation) {
+        if status.incarnation > peer.incarnation {
             return false;
         }
-        let is_new = known != Some(status.incarnation);
-        if is_new {
-            let service = status.service.clone().unwrap_or_default();
-            let (incarnation, place) = (status.incarnation, status.place.clone());
-            let listed = Listed { addr: from, incarnation, place, service };
-            self.by_addr.insert(from, Peer::new(listed, now));
+        peer.report = Some(status.report);
+        peer.pending = 0;
+        peer.heard_at = Some(now);
+        peer.said_at = Some(status.sent_at);
+        peer.hears_us = status.hears_you;
+        if status.hears_you {
+            peer.down_until = None;
         }
-        if let Some(peer) = self.by_addr.get_mut(&from) {
-            peer.service.clone_from(&status.service);
-            peer.report = Some(status.report);
-            peer.pending = 0;
-            peer.heard_at = Some(now);
-            peer.said_at = Some(status.sent_at);
-            peer.hears_us = status.hears_you;
-            if status.hears_you {
-                peer.down_until = None;
-            }
-        }
-        is_new
+        true
     }
 
     /// Takes in the report that came with an answer.
@@ -217,8 +238,11 @@
 
     /// Whether a daemon was heard lately.
     pub fn is_heard(&self, addr: &DaemonId, now: Instant) -> bool {
-        let heard = self.by_addr.get(addr).and_then(|p| p.heard_at);
-        heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT_AFTER)
+        let Some(peer) = self.by_addr.get(addr) else {
+            return false;
+        };
+        let limit = if peer.place == self.place { SILENT_AFTER } else { FAR_SILENT_AFTER };
+        peer.heard_at.is_some_and(|at| now.saturating_duration_since(at) < limit)
     }
 
     /// Moment of a daemon's last state, on its clock.
@@ -226,9 +250,34 @@
         self.by_addr.get(addr).and_then(|p| p.said_at)
     }
 
-    /// Daemons of this region.
-    pub fn in_region(&self) -> impl Iterator<Item = &Peer> {
-        self.by_addr.values().filter(|p| p.place.region == self.place.region)
+    /// Daemons of the region's other data centres with which this one exchanges states. Both sides choose
+    /// alike, by a hash of their addresses; their number does not grow with the fleet.
+    pub fn partners(&self, own_service: &str) -> Vec<DaemonId> {
+        let mut sizes: HashMap<&str, f64> = HashMap::from([(own_service, 1.0)]);
+        let in_region = || self.by_addr.values().filter(|p| p.place.region == self.place.region);
+        for peer in in_region() {
+            *sizes.entry(&*peer.service).or_default() += 1.0;
+        }
+        let size = |service: &str| sizes.get(service).copied().unwrap_or(1.0);
+        let is_partner = |p: &&Peer| {
+            let smaller = size(own_service).min(size(&p.service));
+            p.place != self.place && pair_point(self.me, p.addr) < PARTNERS / smaller
+        };
+        in_region().filter(is_partner).map(|p| p.addr).collect()
+    }
+
+    /// One or two daemons of each other data centre, which introduce this one to theirs.
+    pub fn ambassadors(&self) -> Vec<DaemonId> {
+        let mut taken: HashMap<&Place, usize> = HashMap::new();
+        let mut addrs = Vec::new();
+        for peer in self.by_addr.values().filter(|p| p.place != self.place) {
+            let count = taken.entry(&peer.place).or_default();
+            *count += 1;
+            if *count <= AMBASSADORS {
+                addrs.push(peer.addr);
+            }
+        }
+        addrs
     }
 
     /// Daemons of this data centre.
@@ -286,7 +335,7 @@
         let mut addrs = Vec::new();
         let mut candidates = Vec::new();
         for peer in self.by_addr.values() {
-            let serves = peer.service.as_deref() == Some(service) && peer.takes_work();
+            let serves = *peer.service == *service && peer.takes_work();
             if !serves || tried.contains(&peer.addr) {
                 continue;
             }
@@ -317,3 +366,10 @@
         }
     }
 }
+
+/// A point in 0 to 1 that both daemons of a pair compute alike.
+fn pair_point(a: DaemonId, b: DaemonId) -> f64 {
+    let (low, high) = if a < b { (a, b) } else { (b, a) };
+    let hash = rendezvous::stable_hash(format!("{low} {high}").as_bytes());
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::exit::Changed;
 use crate::gossip::Gossip;
 use crate::node::Node;
 use crate::refresh::ConfigSource;
@@ -66,8 +67,10 @@
 async fn watch_changes(node: Rc<Node>) {
     loop {
         sleep(CHANGE_INTERVAL).await;
-        if node.exit.take_changed() {
-            node.urgent.notify_one();
+        match node.exit.take_changed() {
+            Some(Changed::Membership) => node.urgent.notify_one(),
+            Some(Changed::Health) => node.changed.notify_one(),
+            None => {}
         }
     }
 }
@@ -78,7 +81,7 @@
     let linger_until = Instant::now() + LINGER;
     event!(Info, DaemonStopping, "callers={} at_server={}", node.callers(), node.exit.load());
     node.stop();
-    gossip::introduce(node, gossip);
+    gossip::announce(node, gossip);
     sleep_until(linger_until.into()).await;
     node.exit.stop();
     closing.cancel();
