--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -17,8 +17,8 @@
 const OTHER_CENTRE_PENALTY: Duration = Duration::from_millis(15);
 /// Added there for each kilobyte of request and answer.
 const OTHER_CENTRE_PENALTY_PER_KB: Duration = Duration::from_millis(3);
-/// Added in another region for the round trip.
-const OTHER_REGION_PENALTY: Duration = Duration::from_millis(60);
+/// Added in another region for the round trip, and for load there that is known late.
+const OTHER_REGION_PENALTY: Duration = Duration::from_millis(300);
 /// Added there for each kilobyte; the link is narrow and paid by volume.
 const OTHER_REGION_PENALTY_PER_KB: Duration = Duration::from_millis(10);
 /// Sizes above this count as this.
