--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -27,35 +27,72 @@
 /// Pause between them.
 const INTRODUCTION_PAUSE: Duration = Duration::from_millis(150);
 
-/// Writes this daemon's row, then keeps reading those of the others.
+/// Reads the rows of the other daemons, writes the own one if it is missing, and keeps reading.
+///
+/// A daemon that starts again on its address finds its row and is done with one call. One that is new reads again
+/// after it has written: of two that start together, at least one finds the other.
 pub async fn keep(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
-    let mut pause = FAILURE_PAUSE;
-    while let Err(e) = write_own(&node, &*table).await {
-        event!(Warn, StoreDown, "purpose=directory error={e}");
-        sleep(pause).await;
-        pause = (pause * 2).min(MAX_FAILURE_PAUSE);
+    let is_listed = persist(&node, &gossip, &*table).await;
+    if !is_listed {
+        let mut pause = Pause::default();
+        while let Err(e) = write_own(&node, &*table).await {
+            event!(Warn, StoreDown, "purpose=directory error={e}");
+            pause.wait().await;
+        }
+        sleep(SETTLE).await;
+        persist(&node, &gossip, &*table).await;
+    }
+    loop {
+        let spread = rand::rng().random_range(0.8..1.2);
+        sleep(REREAD_INTERVAL.mul_f64(spread)).await;
+        persist(&node, &gossip, &*table).await;
     }
-    sleep(SETTLE).await;
-    pause = FAILURE_PAUSE;
+}
+
+/// Reads the rows until that succeeds; returns whether the own one is among them.
+async fn persist(node: &Rc<Node>, gossip: &Rc<Gossip>, table: &dyn Table) -> bool {
+    let mut pause = Pause::default();
     loop {
-        match read(&node, &*table).await {
-            Ok(new) => {
-                pause = FAILURE_PAUSE;
-                if new > 0 {
-                    introduce(&node, &gossip).await;
+        match read(node, table).await {
+            Ok(found) => {
+                if found.new > 0 {
+                    let (node, gossip) = (Rc::clone(node), Rc::clone(gossip));
+                    tokio::task::spawn_local(async move { introduce(&node, &gossip).await });
                 }
-                let spread = rand::rng().random_range(0.8..1.2);
-                sleep(REREAD_INTERVAL.mul_f64(spread)).await;
+                return found.has_own;
             }
             Err(e) => {
                 log::debug!("directory not read: {e}");
-                sleep(pause).await;
-                pause = (pause * 2).min(MAX_FAILURE_PAUSE);
+                pause.wait().await;
             }
         }
     }
 }
 
+/// Growing pause between calls that fail.
+struct Pause(Duration);
+
+impl Default for Pause {
+    fn default() -> Self {
+        Self(FAILURE_PAUSE)
+    }
+}
+
+impl Pause {
+    async fn wait(&mut self) {
+        sleep(self.0).await;
+        self.0 = (self.0 * 2).min(MAX_FAILURE_PAUSE);
+    }
+}
+
+/// What a reading of the rows showed.
+struct Found {
+    /// Daemons that were not known.
+    new: usize,
+    /// Whether this daemon's own row is there and still right.
+    has_own: bool,
+}
+
 async fn introduce(node: &Node, gossip: &Gossip) {
     for round in 0..INTRODUCTIONS {
         gossip::introduce(node, gossip, round == 0);
@@ -73,18 +110,24 @@
     table.commit(&commit).await.map(|_version| ())
 }
 
-/// Takes in the rows; returns how many daemons were not known.
-async fn read(node: &Node, table: &dyn Table) -> Result<usize, StoreError> {
+/// Takes in the rows.
+async fn read(node: &Node, table: &dyn Table) -> Result<Found, StoreError> {
     let rows = table.range(PREFIX).await?;
     let now = Instant::now();
-    let mut new = 0;
+    let own = node.listed();
+    let mut found = Found { new: 0, has_own: false };
     for (key, row) in rows {
         match serde_json::from_str::<Listed>(&row.value) {
-            Ok(listed) => new += usize::from(node.peers.borrow_mut().note_listed(listed, now)),
+            Ok(listed) if listed.addr == own.addr => {
+                found.has_own = listed.place == own.place && listed.service == own.service;
+            }
+            Ok(listed) => found.new += usize::from(node.peers.borrow_mut().note_listed(listed, now)),
             Err(e) => log::warn!("row {key} is no daemon: {e}"),
         }
     }
     node.count_members();
-    event!(Info, MemberUp, "source=store new={new} members={}", node.peers.borrow().members(now));
-    Ok(new)
+    let members = node.peers.borrow().members(now);
+    event!(Info, MemberUp, "source=store new={} members={members}", found.new);
+    node.stale.notify_one();
+    Ok(found)
 }
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -16,6 +16,9 @@
 /// Header with a [`Report`] on the server, on every answer of the daemon beside it.
 pub static REPORT: HeaderName = HeaderName::from_static("x-pomelo-report");
 
+/// Header with the age of the proof that a configuration is the newest.
+pub static PROOF_AGE: HeaderName = HeaderName::from_static("x-pomelo-proof-age");
+
 /// The order to run a request, beside the request itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Order {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -21,7 +21,7 @@
 
 use crate::body::{Body, hold};
 use crate::exec::LocalExec;
-use crate::handoff::{self, ORDER, Order, REPORT, Reason, VERDICT, Verdict};
+use crate::handoff::{self, ORDER, Order, PROOF_AGE, REPORT, Reason, VERDICT, Verdict};
 use crate::node::Node;
 use crate::socket;
 
@@ -40,6 +40,9 @@
 /// Pause after an accept failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Path at which daemons give each other their configuration.
+const CONFIG_PATH: &str = "/config";
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Why a request has no answer of another daemon.
@@ -149,7 +152,32 @@
     }
 }
 
+/// Asks another daemon for its configuration; returns it with the age of the proof that it is the newest.
+pub async fn fetch_config(node: &Node, from: DaemonId) -> Option<(Bytes, Duration)> {
+    let uri = format!("http://{from}{CONFIG_PATH}");
+    let req = Request::builder().uri(uri).body(Full::new(Bytes::new())).ok()?;
+    let rep = node.links.send(from, req).await.ok()?;
+    let (mut parts, body) = rep.into_parts();
+    let proof_age: Duration = handoff::take(&mut parts.headers, &PROOF_AGE)?;
+    let raw = hold(body, usize::MAX).await.ok()?;
+    Some((raw, proof_age))
+}
+
+fn config(node: &Node) -> Response<Body> {
+    let Some(age) = node.proof_age() else {
+        let mut rep = Response::new(Body::whole(""));
+        *rep.status_mut() = StatusCode::NOT_FOUND;
+        return rep;
+    };
+    let mut rep = Response::new(Body::whole(node.raw.borrow().clone()));
+    handoff::put(rep.headers_mut(), &PROOF_AGE, &age);
+    rep
+}
+
 async fn answer(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
+    if !req.headers().contains_key(&ORDER) && req.uri().path() == CONFIG_PATH {
+        return config(&node);
+    }
     let done = run(&node, req).await;
     let mut rep = done.unwrap_or_else(|verdict| {
         let mut rep = Response::new(Body::whole(""));
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use base::{CustomerId, DaemonId, Place, ServiceId, Version, event};
+use bytes::Bytes;
 use conf::{KeyHasher, Snapshot};
 use limit::{Split, Tolerance};
 use route::Budget;
@@ -22,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers::{Hello, Incarnation, Listed, Peers, Status};
+use crate::refresh::Fetched;
 
 /// Pause between two questions for tokens to other data centres.
 const REFILL_PAUSE: Duration = Duration::from_millis(60);
@@ -85,6 +87,8 @@
     pub ending: CancellationToken,
     /// Woken when tokens or proofs come in.
     pub refilled: Notify,
+    /// The configuration in force as its source holds it.
+    pub(crate) raw: RefCell<Bytes>,
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) split: RefCell<Split>,
     pub(crate) answer_sizes: RefCell<AnswerSizes>,
@@ -121,6 +125,7 @@
             stale: Notify::new(),
             ending: CancellationToken::new(),
             refilled: Notify::new(),
+            raw: RefCell::default(),
             freshness: RefCell::default(),
             split: RefCell::new(Split::new(bounds.rate_tolerance, 1)),
             answer_sizes: RefCell::default(),
@@ -145,7 +150,8 @@
     }
 
     /// Puts a configuration in force unless a newer one is; `proven_at` is when it was the newest.
-    pub fn adopt(&self, snapshot: Snapshot, proven_at: BootTime) {
+    pub fn adopt(&self, fetched: Fetched, proven_at: BootTime) {
+        let Fetched { snapshot, raw } = fetched;
         let version = snapshot.version;
         let is_newer = self.snapshot.borrow().as_ref().is_none_or(|old| old.version < version);
         if is_newer {
@@ -154,6 +160,7 @@
             for customer in snapshot.customers.values() {
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
+            self.raw.replace(raw);
             self.snapshot.send_replace(Some(Arc::new(snapshot)));
             self.urgent.notify_one();
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,6 +6,8 @@
 
 use base::{CustomerId, DaemonId, Place, ServiceId, Version, rendezvous};
 use limit::Portion;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use route::place::{Candidate, Distance, Load};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +22,8 @@
 const PARTNERS: f64 = 6.0;
 /// Time without a sign of a daemon of the region, or its row, after which it no longer counts as a member.
 const GONE_AFTER: Duration = Duration::from_secs(90);
+/// Time for which a daemon of which only the row is known is expected to be there.
+const LISTED_COUNTS: Duration = Duration::from_millis(1_500);
 /// Daemons of each other data centre to which a new one introduces itself.
 const AMBASSADORS: usize = 2;
 /// Pause after a failed hand-off before a daemon is tried again.
@@ -101,6 +105,8 @@
     place: Place,
     service: ServiceId,
     report: Option<Report>,
+    /// Version of its configuration; 0 if not known.
+    version: Version,
     /// Own hand-offs under way since the last report.
     pending: u32,
     heard_at: Option<Instant>,
@@ -121,6 +127,7 @@
             place,
             service,
             report: None,
+            version: 0,
             pending: 0,
             heard_at: None,
             said_at: None,
@@ -204,6 +211,7 @@
             return false;
         }
         peer.report = Some(status.report);
+        peer.version = status.version;
         peer.pending = 0;
         peer.heard_at = Some(now);
         peer.said_at = Some(status.sent_at);
@@ -290,6 +298,23 @@
         self.by_addr.values()
     }
 
+    /// One of the region's daemons with a newer configuration, from this data centre if there is one.
+    pub fn with_newer(&self, known: Version, rng: &mut impl Rng) -> Option<DaemonId> {
+        let newer = |p: &&Peer| p.version > known;
+        let near = self.in_centre().filter(newer).choose(rng);
+        let far = || {
+            self.by_addr.values().filter(|p| p.place.region == self.place.region).filter(newer).choose(rng)
+        };
+        near.or_else(far).map(|p| p.addr)
+    }
+
+    /// Forgets which configuration a daemon has, until it says so again.
+    pub fn forget_version(&mut self, addr: DaemonId) {
+        if let Some(peer) = self.by_addr.get_mut(&addr) {
+            peer.version = 0;
+        }
+    }
+
     /// Number of daemons that divide rates, this one included.
     pub fn members(&self, now: Instant) -> u32 {
         let seen = |p: &&Peer| {
@@ -299,9 +324,11 @@
         self.by_addr.values().filter(seen).count() as u32 + 1
     }
 
-    /// Position of this daemon among those of its data centre that were heard lately, by address.
+    /// Position of this daemon among those of its data centre that were heard or listed lately, by address.
     pub fn rank_in_centre(&self, now: Instant) -> usize {
-        self.in_centre().filter(|p| p.addr < self.me && self.is_heard(&p.addr, now)).count()
+        let may_ask =
+            |p: &&Peer| self.is_heard(&p.addr, now) || now.duration_since(p.listed_at) < LISTED_COUNTS;
+        self.in_centre().filter(|p| p.addr < self.me).filter(may_ask).count()
     }
 
     /// Daemon of this data centre with which tokens of a customer are deposited.
--- a/crates/relay/src/refresh.rs
+++ b/crates/relay/src/refresh.rs
@@ -1,18 +1,21 @@
 //! Keeps the configuration and the proof that it is the newest one up to date.
 //!
 //! A few daemons of each data centre ask the store; the others take over their proofs with the states that
-//! daemons exchange anyway, and ask only when these have become old.
+//! daemons exchange anyway, and ask only when these have become old. A new configuration travels from daemon to
+//! daemon in the same way: when all start at once, the store is not read by all.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use base::{Version, event};
+use base::{DaemonId, Version, event};
+use bytes::Bytes;
 use conf::Snapshot;
 use store::StoreError;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::BootTime;
+use crate::links;
 use crate::node::Node;
 
 /// Longest time that a question may wait at the store for a change.
@@ -22,17 +25,30 @@
 /// Longest such pause.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Age of the proof from which the second daemon of a data centre asks; each further one waits longer.
-const FIRST_RANK_AGE: Duration = Duration::from_millis(1_500);
+const FIRST_RANK_AGE: Duration = Duration::from_millis(2_000);
 /// How much longer each further daemon waits.
-const RANK_STEP: Duration = Duration::from_millis(300);
+const RANK_STEP: Duration = Duration::from_millis(150);
 /// Longest age of the proof before a daemon asks whatever its rank.
-const LAST_RANK_AGE: Duration = Duration::from_millis(2_400);
+const LAST_RANK_AGE: Duration = Duration::from_millis(2_600);
+/// Time for another daemon to give its configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the start in which a daemon learns who else is there before it asks the store.
+const LISTEN_FIRST: Duration = Duration::from_millis(150);
+
+/// A configuration as its source holds it, and compiled.
+#[derive(Debug)]
+pub struct Fetched {
+    /// Compiled form.
+    pub snapshot: Snapshot,
+    /// Form of the source, which other daemons can decode.
+    pub raw: Bytes,
+}
 
 /// Answer to the question for a newer configuration.
 #[derive(Debug)]
 pub struct Change {
     /// The newest configuration, if it is newer than the one that was named.
-    pub snapshot: Option<Snapshot>,
+    pub fetched: Option<Fetched>,
     /// Moment at which this was so.
     pub proven_at: BootTime,
 }
@@ -45,63 +61,114 @@
     /// # Errors
     /// Fails if the source does not answer.
     async fn watch(&mut self, known: Version, wait: Duration) -> Result<Change, StoreError>;
+
+    /// Compiles a configuration that another daemon has got from the source.
+    ///
+    /// # Errors
+    /// Fails if it can't be used.
+    fn decode(&self, raw: Bytes) -> Result<Fetched, StoreError>;
 }
 
-/// Asks the source whenever this daemon's turn has come.
+/// Asks other daemons or the source whenever this daemon's turn has come.
 pub async fn refresh(node: Rc<Node>, mut source: impl ConfigSource) {
-    let mut pause = FAILURE_PAUSE;
-    let mut is_up = true;
+    let mut store = StoreState { pause: FAILURE_PAUSE, is_up: true };
+    let started = Instant::now();
     loop {
-        if node.conf().is_some() {
-            wait_for_turn(&node).await;
+        match wait_for_turn(&node, started).await {
+            Turn::Peer(peer) if fetch(&node, &source, peer).await => {}
+            Turn::Peer(_) | Turn::Store => ask_store(&node, &mut source, &mut store).await,
         }
-        let wait = if node.conf().is_none() { Duration::ZERO } else { WATCH_WAIT };
-        match source.watch(node.version(), wait).await {
-            Ok(change) => {
-                if !is_up {
-                    event!(Info, StoreUp, "version={}", node.version());
-                }
-                is_up = true;
-                pause = FAILURE_PAUSE;
-                let is_known = change.snapshot.is_some() || node.conf().is_some();
-                take_in(&node, change);
-                if !is_known {
-                    sleep(FAILURE_PAUSE).await;
-                }
+    }
+}
+
+/// What is known of the store.
+struct StoreState {
+    /// Pause after the next failed question.
+    pause: Duration,
+    is_up: bool,
+}
+
+async fn ask_store(node: &Node, source: &mut impl ConfigSource, store: &mut StoreState) {
+    let has_conf = node.conf().is_some();
+    let wait = if has_conf { WATCH_WAIT } else { Duration::ZERO };
+    match source.watch(node.version(), wait).await {
+        Ok(change) => {
+            if !store.is_up {
+                event!(Info, StoreUp, "version={}", node.version());
             }
-            Err(e) => {
-                if is_up {
-                    event!(Warn, StoreDown, "error={e}");
-                }
-                is_up = false;
-                sleep(pause).await;
-                pause = (pause * 2).min(MAX_FAILURE_PAUSE);
+            *store = StoreState { pause: FAILURE_PAUSE, is_up: true };
+            match change.fetched {
+                Some(fetched) => node.adopt(fetched, change.proven_at),
+                None if has_conf => node.confirm(node.version(), change.proven_at),
+                // The operators have not written a configuration yet.
+                None => sleep(FAILURE_PAUSE).await,
             }
         }
+        Err(e) => {
+            if store.is_up {
+                event!(Warn, StoreDown, "error={e}");
+            }
+            store.is_up = false;
+            sleep(store.pause).await;
+            store.pause = (store.pause * 2).min(MAX_FAILURE_PAUSE);
+        }
     }
 }
 
-fn take_in(node: &Node, change: Change) {
-    match change.snapshot {
-        Some(snapshot) => node.adopt(snapshot, change.proven_at),
-        None => node.confirm(node.version(), change.proven_at),
+/// Takes over a newer configuration from another daemon; false if it did not give one.
+async fn fetch(node: &Node, source: &impl ConfigSource, peer: DaemonId) -> bool {
+    let asked = BootTime::now();
+    let answer = timeout(FETCH_TIMEOUT, links::fetch_config(node, peer)).await;
+    let Ok(Some((raw, proof_age))) = answer else {
+        event!(Debug, ConfigRefused, "from={peer} outcome=no-answer");
+        node.peers.borrow_mut().forget_version(peer);
+        return false;
+    };
+    match source.decode(raw) {
+        Ok(fetched) => {
+            node.adopt(fetched, asked.before(proof_age));
+            true
+        }
+        Err(e) => {
+            event!(Error, ConfigRefused, "from={peer} error={e}");
+            node.peers.borrow_mut().forget_version(peer);
+            false
+        }
     }
 }
 
+/// Whom to ask next.
+enum Turn {
+    /// Another daemon, which has a newer configuration.
+    Peer(DaemonId),
+    /// The source.
+    Store,
+}
+
 /// Waits until this daemon's proof is old enough for its rank, or another knows something newer.
-async fn wait_for_turn(node: &Node) {
+async fn wait_for_turn(node: &Node, started: Instant) -> Turn {
     loop {
-        let rank = node.peers.borrow().rank_in_centre(std::time::Instant::now());
+        let (rank, newer) = {
+            let peers = node.peers.borrow();
+            (peers.rank_in_centre(Instant::now()), peers.with_newer(node.version(), &mut rand::rng()))
+        };
+        if let Some(peer) = newer {
+            return Turn::Peer(peer);
+        }
+        let since_start = started.elapsed();
+        if node.conf().is_none() && since_start < LISTEN_FIRST {
+            // The directory tells who else could ask.
+            let _woken = timeout(LISTEN_FIRST - since_start, node.stale.notified()).await;
+            continue;
+        }
         if rank == 0 {
-            return;
+            return Turn::Store;
         }
         let due = (FIRST_RANK_AGE + RANK_STEP * (rank as u32 - 1)).min(LAST_RANK_AGE);
-        let age = node.proof_age().unwrap_or(due);
+        let age = node.proof_age().unwrap_or(since_start);
         let Some(left) = due.checked_sub(age).filter(|left| !left.is_zero()) else {
-            return;
+            return Turn::Store;
         };
-        if timeout(left, node.stale.notified()).await.is_ok() {
-            return;
-        }
+        let _woken = timeout(left, node.stale.notified()).await;
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -23,7 +23,7 @@
 use relay::metrics::Metrics;
 use relay::names::Names;
 use relay::node::{Bounds, Me, Node};
-use relay::refresh::{Change, ConfigSource};
+use relay::refresh::{Change, ConfigSource, Fetched};
 use relay::registration::Heartbeat;
 use relay::run::{Sockets, run};
 use store::{Commit, MemStore, Row, StoreError, StoreOp, StoreRep, Table};
@@ -223,8 +223,14 @@
             return Err(StoreError::Down);
         }
         let snapshot = (self.source.make.get())(&self.hasher);
-        let snapshot = (snapshot.version > known).then_some(snapshot);
-        Ok(Change { snapshot, proven_at: asked })
+        let raw = Bytes::from(snapshot.version.to_string());
+        let fetched = (snapshot.version > known).then_some(Fetched { snapshot, raw });
+        Ok(Change { fetched, proven_at: asked })
+    }
+
+    fn decode(&self, raw: Bytes) -> Result<Fetched, StoreError> {
+        let snapshot = (self.source.make.get())(&self.hasher);
+        Ok(Fetched { snapshot, raw })
     }
 }
 
