Fall back to the store within the time for configurations; ask for tokens where they can be had; wait without polling

Change: the others ask at 1.6 to 2.0 s and hear of each new proof at once; a request that got no tokens from its depositary asks another data centre's, mostly in the region; changes wake their reader.

--- a/crates/limit/src/split.rs
+++ b/crates/limit/src/split.rs
@@ -24,6 +24,10 @@
 const IDLE_AFTER: Duration = Duration::from_secs(1);
 /// Part of all tokens that daemons may hold by their own refill; the rest may lie with depositaries.
 const OWN_PART: f64 = 0.5;
+/// Part of its own tokens with which a daemon starts.
+const FIRST_PART: f64 = 0.7;
+/// Longest time for which a request without a number of daemons is told to stay away.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
 /// Smallest deposit in tokens.
 const MIN_DEPOSIT: f64 = 0.05;
 
@@ -66,7 +70,8 @@
 pub struct Split {
     buckets: HashMap<CustomerId, Bucket>,
     tolerance: Tolerance,
-    daemons: u32,
+    /// Daemons that divide the rates; none until they are known.
+    daemons: Option<u32>,
     /// Daemons of this data centre, this one included.
     centre: u32,
 }
@@ -81,9 +86,9 @@
 }
 
 impl Split {
-    /// Makes an empty split among `daemons` daemons.
-    pub fn new(tolerance: Tolerance, daemons: u32) -> Self {
-        Self { buckets: HashMap::new(), tolerance, daemons: daemons.max(1), centre: 1 }
+    /// Makes an empty split; nothing is refilled until the number of daemons is known.
+    pub fn new(tolerance: Tolerance) -> Self {
+        Self { buckets: HashMap::new(), tolerance, daemons: None, centre: 1 }
     }
 
     /// Takes over rates of a new configuration. Tokens beyond a lowered burst are dropped at once.
@@ -97,10 +102,10 @@
 
     /// Takes over the numbers of daemons that divide the rates, in all and in this data centre.
     pub fn set_daemons(&mut self, daemons: u32, centre: u32, snapshot: Option<&Snapshot>, now: Instant) {
-        if (daemons, centre) == (self.daemons, self.centre) || daemons == 0 {
+        if (Some(daemons), centre) == (self.daemons, self.centre) || daemons == 0 {
             return;
         }
-        self.daemons = daemons;
+        self.daemons = Some(daemons);
         self.centre = centre;
         if let Some(snapshot) = snapshot {
             self.set_rates(snapshot, now);
@@ -110,7 +115,7 @@
     /// Takes one token.
     pub fn take(&mut self, customer: &str, now: Instant) -> Taken {
         let Some(bucket) = self.buckets.get_mut(customer) else {
-            return Taken::Yes;
+            return if self.daemons.is_some() { Taken::Yes } else { Taken::NotBefore(UNKNOWN_WAIT) };
         };
         bucket.refill(now);
         bucket.wanted = Some(now);
@@ -173,14 +178,19 @@
     }
 
     fn set_rate(&mut self, customer: &Arc<Customer>, now: Instant) {
-        let part = 1.0 / f64::from(self.daemons);
+        let part = self.daemons.map_or(0.0, |n| 1.0 / f64::from(n));
         let extra = self.tolerance.part * customer.burst + self.tolerance.tokens;
         let all = customer.burst + extra * GIVEN_OUT;
         let depth = all * OWN_PART * part;
         let pool = all * (1.0 - OWN_PART) * part * f64::from(self.centre);
         let per_s = customer.rate * part;
-        let empty = Bucket { tokens: 0.0, refilled: now, per_s, depth, pool, wanted: None };
-        let bucket = self.buckets.entry(customer.name.clone()).or_insert(empty);
+        // Less than the refills that were missed while the daemon was not running.
+        let tokens = depth * FIRST_PART;
+        let first = Bucket { tokens, refilled: now, per_s, depth, pool, wanted: None };
+        if part == 0.0 {
+            return;
+        }
+        let bucket = self.buckets.entry(customer.name.clone()).or_insert(first);
         bucket.refill(now);
         bucket.per_s = per_s;
         bucket.depth = depth;
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -125,6 +125,7 @@
             Err(e) => log::warn!("row {key} is no daemon: {e}"),
         }
     }
+    node.has_directory.set(true);
     node.count_members();
     let members = node.peers.borrow().members(now);
     event!(Info, MemberUp, "source=store new={} members={members}", found.new);
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -261,18 +261,20 @@
 
 /// Takes a token of the customer, asking neighbours if there is none here.
 async fn take_token(node: &Rc<Node>, customer: &CustomerId, until: Instant) -> Result<(), Refused> {
+    let mut asked = 0;
     loop {
         let taken = node.split.borrow_mut().take(customer, Instant::now());
         let own_wait = match taken {
             Taken::Yes => {
                 if node.split.borrow_mut().is_low(customer, false, Instant::now()) {
-                    gossip::ask_for_tokens(node, customer);
+                    gossip::ask_for_tokens(node, customer, false);
                 }
                 return Ok(());
             }
             Taken::NotBefore(wait) => wait,
         };
-        gossip::ask_for_tokens(node, customer);
+        asked += 1;
+        gossip::ask_for_tokens(node, customer, asked == 2);
         let next = Instant::now() + own_wait.min(ASK_INTERVAL);
         let arrived = timeout_at(until.min(next).into(), node.refilled.notified()).await;
         if arrived.is_err() && until <= next {
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -18,7 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use route::Dispatch;
 use route::dispatch::{Offered, Pulled, Ticket, Work};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::body::{Body, HOLD_BYTES, hold};
@@ -97,6 +97,8 @@
     state: RefCell<State>,
     /// Set when the report has changed in a way that others should learn of at once.
     changed: Cell<Option<Changed>>,
+    /// Woken when `changed` is set.
+    signal: Notify,
     is_stopping: Cell<bool>,
 }
 
@@ -116,7 +118,8 @@
             shed: 0.0,
         };
         let (changed, is_stopping) = (Cell::new(None), Cell::new(false));
-        Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, is_stopping }
+        let signal = Notify::new();
+        Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, signal, is_stopping }
     }
 
     /// Takes in a heartbeat of the server.
@@ -145,7 +148,7 @@
             event!(Info, ServerLeaving, "server={id} born={born} sequence={sequence}");
         }
         if noted == Noted::Registered || draining != was_draining {
-            self.changed.set(Some(Changed::Membership));
+            self.note_change(Changed::Membership);
         }
         if draining {
             send_away(&mut state);
@@ -160,18 +163,24 @@
         if state.registration.leave(id, wall_ms) {
             event!(Info, ServerLeaving, "server={id} outcome=left");
             send_away(&mut state);
-            self.changed.set(Some(Changed::Membership));
+            self.note_change(Changed::Membership);
         }
     }
 
-    /// Whether the report has changed since the last call in a way that others should learn of at once.
-    pub fn take_changed(&self) -> Option<Changed> {
-        self.changed.take()
+    /// Waits for a change that others should learn of at once.
+    pub async fn changed(&self) -> Changed {
+        loop {
+            if let Some(changed) = self.changed.take() {
+                return changed;
+            }
+            self.signal.notified().await;
+        }
     }
 
-    fn note_health_change(&self) {
-        let known = self.changed.get();
-        self.changed.set(Some(known.unwrap_or(Changed::Health)));
+    fn note_change(&self, change: Changed) {
+        let is_known = self.changed.get() == Some(Changed::Membership);
+        self.changed.set(Some(if is_known { Changed::Membership } else { change }));
+        self.signal.notify_one();
     }
 
     /// Takes no new work from now on.
@@ -313,7 +322,7 @@
         let mut state = self.state.borrow_mut();
         state.down_until = Some(now + DOWN_PAUSE);
         state.gray.observe(Shown::Failure, now);
-        self.note_health_change();
+        self.note_change(Changed::Health);
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
@@ -335,7 +344,7 @@
         if was_suspect == is_suspect {
             return;
         }
-        self.note_health_change();
+        self.note_change(Changed::Health);
         let failing = state.gray.failing(now);
         let server = state.registration.server().map(|s| s.heartbeat.id.clone()).unwrap_or_default();
         if is_suspect {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -8,7 +8,6 @@
 use base::{CustomerId, DaemonId, event};
 use limit::Portion;
 use rand::Rng;
-use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -140,6 +139,7 @@
         Datagram::Hello(hello) => take_in_hello(node, gossip, from, hello, now),
         Datagram::Status(status) => {
             if node.peers.borrow_mut().note_status(from, &status, now) {
+                node.count_members();
                 take_over(node, &status);
             } else {
                 gossip.send(from, &Datagram::Hello(node.hello(&from, true, false)));
@@ -219,8 +219,9 @@
     }
 }
 
-/// Asks for tokens of a customer where they are deposited.
-pub fn ask_for_tokens(node: &Rc<Node>, customer: &CustomerId) {
+/// Asks for tokens of a customer where they are deposited. If that has not helped before, another data centre's
+/// depositary is asked too: the own one may be cut off.
+pub fn ask_for_tokens(node: &Rc<Node>, customer: &CustomerId, is_again: bool) {
     let Some(gossip) = node.gossip.borrow().clone() else {
         return;
     };
@@ -231,6 +232,12 @@
     } else {
         gossip.send(depositary, &Datagram::Ask(customer.clone(), Portion::Few));
     }
+    if is_again {
+        let other = node.peers.borrow().other_depositary(customer, &mut rand::rng());
+        if let Some(other) = other {
+            gossip.send(other, &Datagram::Ask(customer.clone(), Portion::Few));
+        }
+    }
 }
 
 /// Asks another data centre's depositary for tokens if this daemon is one and has few left.
@@ -240,8 +247,7 @@
     if !is_low || peers.depositary(customer, now) != node.me.addr || !node.may_refill(customer, now) {
         return;
     }
-    let others = peers.other_depositaries(customer);
-    if let Some(other) = others.into_iter().choose(&mut rand::rng()) {
+    if let Some(other) = peers.other_depositary(customer, &mut rand::rng()) {
         gossip.send(other, &Datagram::Ask(customer.clone(), Portion::Half));
     }
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -26,7 +26,7 @@
 use crate::refresh::Fetched;
 
 /// Pause between two questions for tokens to other data centres.
-const REFILL_PAUSE: Duration = Duration::from_millis(60);
+const REFILL_PAUSE: Duration = Duration::from_millis(200);
 /// Retries that a service's budget holds at first.
 const BUDGET_RESERVE: u32 = 1;
 /// Retries that a service's budget holds at most.
@@ -97,6 +97,8 @@
     /// Set once datagrams can be sent.
     pub(crate) gossip: RefCell<Option<Rc<Gossip>>>,
     budgets: RefCell<HashMap<ServiceId, Budget>>,
+    /// Whether the rows of the other daemons were read once.
+    pub(crate) has_directory: Cell<bool>,
     is_stopping: Cell<bool>,
     callers: Cell<usize>,
 }
@@ -127,11 +129,12 @@
             refilled: Notify::new(),
             raw: RefCell::default(),
             freshness: RefCell::default(),
-            split: RefCell::new(Split::new(bounds.rate_tolerance, 1)),
+            split: RefCell::new(Split::new(bounds.rate_tolerance)),
             answer_sizes: RefCell::default(),
             refills: RefCell::default(),
             gossip: RefCell::default(),
             budgets: RefCell::default(),
+            has_directory: Cell::new(false),
             is_stopping: Cell::new(false),
             callers: Cell::new(0),
             bounds,
@@ -202,10 +205,13 @@
 
     /// Divides rates by the present number of daemons.
     pub fn count_members(&self) {
+        if !self.has_directory.get() {
+            return;
+        }
         let now = Instant::now();
         let (members, centre) = {
             let peers = self.peers.borrow();
-            (peers.members(now), peers.members_of_centre())
+            (peers.dividers(now), peers.members_of_centre())
         };
         self.split.borrow_mut().set_daemons(members, centre, self.conf().as_deref(), now);
     }
@@ -278,6 +284,7 @@
             sent_at: BootTime::now(),
             echo: peers.said_at(to),
             hears_you: peers.is_heard(to, now),
+            members: peers.members(now) as u16,
         }
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,6 +24,8 @@
 const GONE_AFTER: Duration = Duration::from_secs(90);
 /// Time for which a daemon of which only the row is known is expected to be there.
 const LISTED_COUNTS: Duration = Duration::from_millis(1_500);
+/// Chance that tokens are asked for in this region rather than another.
+const STAY_CHANCE: f64 = 0.85;
 /// Daemons of each other data centre to which a new one introduces itself.
 const AMBASSADORS: usize = 2;
 /// Pause after a failed hand-off before a daemon is tried again.
@@ -81,6 +83,8 @@
     pub echo: Option<BootTime>,
     /// Whether the sender has heard the receiver lately.
     pub hears_you: bool,
+    /// Number of daemons that the sender knows, itself included.
+    pub members: u16,
 }
 
 /// A daemon as its row in the store describes it.
@@ -107,6 +111,8 @@
     report: Option<Report>,
     /// Version of its configuration; 0 if not known.
     version: Version,
+    /// Number of daemons that it knows.
+    members: u32,
     /// Own hand-offs under way since the last report.
     pending: u32,
     heard_at: Option<Instant>,
@@ -128,6 +134,7 @@
             service,
             report: None,
             version: 0,
+            members: 0,
             pending: 0,
             heard_at: None,
             said_at: None,
@@ -212,6 +219,7 @@
         }
         peer.report = Some(status.report);
         peer.version = status.version;
+        peer.members = u32::from(status.members);
         peer.pending = 0;
         peer.heard_at = Some(now);
         peer.said_at = Some(status.sent_at);
@@ -315,7 +323,7 @@
         }
     }
 
-    /// Number of daemons that divide rates, this one included.
+    /// Number of daemons that are known, this one included.
     pub fn members(&self, now: Instant) -> u32 {
         let seen = |p: &&Peer| {
             let last = p.heard_at.map_or(p.listed_at, |at| at.max(p.listed_at));
@@ -324,6 +332,13 @@
         self.by_addr.values().filter(seen).count() as u32 + 1
     }
 
+    /// Number of daemons that divide rates: as many as the best informed daemon of the data centre knows, so that a
+    /// daemon that has just started does not take too large a part.
+    pub fn dividers(&self, now: Instant) -> u32 {
+        let heard = self.in_centre().filter(|p| self.is_heard(&p.addr, now));
+        heard.map(|p| p.members).fold(self.members(now), u32::max)
+    }
+
     /// Position of this daemon among those of its data centre that were heard or listed lately, by address.
     pub fn rank_in_centre(&self, now: Instant) -> usize {
         let may_ask =
@@ -337,14 +352,14 @@
         rendezvous::owner(customer, heard.chain([self.me])).unwrap_or(self.me)
     }
 
-    /// Depositaries of a customer in the other data centres.
-    pub fn other_depositaries(&self, customer: &str) -> Vec<DaemonId> {
-        let others = self.by_addr.values().filter(|p| p.place != self.place);
-        let mut by_place: HashMap<&Place, Vec<DaemonId>> = HashMap::new();
-        for peer in others {
-            by_place.entry(&peer.place).or_default().push(peer.addr);
-        }
-        by_place.values().filter_map(|addrs| rendezvous::owner(customer, addrs.iter().copied())).collect()
+    /// A depositary of a customer in another data centre, mostly one of this region.
+    pub fn other_depositary(&self, customer: &str, rng: &mut impl Rng) -> Option<DaemonId> {
+        let stays = rng.random_bool(STAY_CHANCE);
+        let is_other = |p: &&Peer| p.place != self.place;
+        let in_region = |p: &&Peer| p.place.region == self.place.region;
+        let others = self.by_addr.values().filter(is_other);
+        let place = others.clone().filter(|p| in_region(p) == stays).map(|p| &p.place).choose(rng)?;
+        rendezvous::owner(customer, others.filter(|p| p.place == *place).map(|p| p.addr))
     }
 
     /// Number of daemons of this data centre, this one included.
--- a/crates/relay/src/refresh.rs
+++ b/crates/relay/src/refresh.rs
@@ -19,17 +19,21 @@
 use crate::node::Node;
 
 /// Longest time that a question may wait at the store for a change.
-const WATCH_WAIT: Duration = Duration::from_millis(1_000);
+const WATCH_WAIT: Duration = Duration::from_millis(900);
 /// Pause after a failed question.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Longest such pause.
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Age of the proof from which the second daemon of a data centre asks; each further one waits longer.
-const FIRST_RANK_AGE: Duration = Duration::from_millis(2_000);
+const FIRST_RANK_AGE: Duration = Duration::from_millis(1_600);
 /// How much longer each further daemon waits.
-const RANK_STEP: Duration = Duration::from_millis(150);
+const RANK_STEP: Duration = Duration::from_millis(120);
 /// Longest age of the proof before a daemon asks whatever its rank.
-const LAST_RANK_AGE: Duration = Duration::from_millis(2_600);
+const LAST_RANK_AGE: Duration = Duration::from_millis(2_000);
+/// How much longer than the one before it each daemon without a configuration waits for one of another's.
+const START_STEP: Duration = Duration::from_millis(300);
+/// Longest such wait.
+const LAST_START: Duration = Duration::from_millis(1_200);
 /// Time for another daemon to give its configuration.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after the start in which a daemon learns who else is there before it asks the store.
@@ -99,7 +103,11 @@
             *store = StoreState { pause: FAILURE_PAUSE, is_up: true };
             match change.fetched {
                 Some(fetched) => node.adopt(fetched, change.proven_at),
-                None if has_conf => node.confirm(node.version(), change.proven_at),
+                None if has_conf => {
+                    node.confirm(node.version(), change.proven_at);
+                    // The others of the data centre rely on this proof.
+                    node.changed.notify_one();
+                }
                 // The operators have not written a configuration yet.
                 None => sleep(FAILURE_PAUSE).await,
             }
@@ -164,7 +172,10 @@
         if rank == 0 {
             return Turn::Store;
         }
-        let due = (FIRST_RANK_AGE + RANK_STEP * (rank as u32 - 1)).min(LAST_RANK_AGE);
+        let due = match node.conf() {
+            Some(_) => (FIRST_RANK_AGE + RANK_STEP * (rank as u32 - 1)).min(LAST_RANK_AGE),
+            None => (START_STEP * rank as u32).min(LAST_START),
+        };
         let age = node.proof_age().unwrap_or(since_start);
         let Some(left) = due.checked_sub(age).filter(|left| !left.is_zero()) else {
             return Turn::Store;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -23,8 +23,6 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time before that at which requests without an answer get one of the daemon's own.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
-/// Interval at which changes of the server beside the daemon are looked for.
-const CHANGE_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which a stop looks whether all work has ended.
 const STOP_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -66,11 +64,9 @@
 /// Spreads changes of the server's state at once.
 async fn watch_changes(node: Rc<Node>) {
     loop {
-        sleep(CHANGE_INTERVAL).await;
-        match node.exit.take_changed() {
-            Some(Changed::Membership) => node.urgent.notify_one(),
-            Some(Changed::Health) => node.changed.notify_one(),
-            None => {}
+        match node.exit.changed().await {
+            Changed::Membership => node.urgent.notify_one(),
+            Changed::Health => node.changed.notify_one(),
         }
     }
 }
