--- a/crates/health/src/gray.rs
+++ b/crates/health/src/gray.rs
@@ -17,7 +17,7 @@
 /// Bounds of the belief, so that it never becomes certain.
 const CERTAINTY: f64 = 0.001;
 /// Belief from which a server gets no request that may run only once.
-pub const SUSPECT: f64 = 0.4;
+pub const SUSPECT: f64 = 0.3;
 
 /// What a request showed about its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/limit/tests/split.rs
@@ -0,0 +1,152 @@
+//! Parts of a fleet-wide rate, replayed from the load patterns that they answer.
+
+use std::time::{Duration, Instant};
+
+use conf::compile::Pieces;
+use conf::{Customer, Snapshot};
+use limit::{Portion, Split, Taken, Tolerance};
+
+const DAEMONS: u32 = 20;
+const CENTRE: u32 = 5;
+const TOLERANCE: Tolerance = Tolerance { part: 0.1, tokens: 20.0 };
+const RATE: f64 = 50.0;
+const STEP: Duration = Duration::from_millis(10);
+
+fn conf(rate: f64) -> Snapshot {
+    let customer = Customer { name: "parish".into(), rate, burst: rate, rank: None };
+    let pieces = Pieces { customers: vec![customer], ..Pieces::default() };
+    pieces.into_snapshot(1).expect("the test's configuration is valid")
+}
+
+fn fleet(rate: f64, now: Instant) -> Vec<Split> {
+    let conf = conf(rate);
+    let make = |_| {
+        let mut split = Split::new(TOLERANCE);
+        split.set_daemons(DAEMONS, CENTRE, Some(&conf), now);
+        split
+    };
+    (0..DAEMONS).map(make).collect()
+}
+
+/// Deposits with the first daemon of each data centre; every tenth deposit is lost.
+fn deposit(fleet: &mut [Split], now: Instant, round: usize) {
+    for centre in fleet.chunks_mut(CENTRE as usize) {
+        let (first, others) = centre.split_first_mut().expect("a data centre has daemons");
+        for (n, other) in others.iter_mut().enumerate() {
+            for (customer, tokens) in other.deposits(|_| false, now) {
+                if !(round + n).is_multiple_of(10) {
+                    first.receive(&customer, tokens, now);
+                }
+            }
+        }
+    }
+}
+
+/// Requests admitted in each 10 ms when every daemon gets one.
+fn flood(fleet: &mut [Split], start: Instant, steps: u32) -> Vec<u32> {
+    let mut admitted = Vec::new();
+    for step in 0..steps {
+        let now = start + STEP * step;
+        let mut count = 0;
+        for daemon in &mut *fleet {
+            count += u32::from(daemon.take("parish", now) == Taken::Yes);
+        }
+        if step.is_multiple_of(30) {
+            deposit(fleet, now, step as usize);
+        }
+        admitted.push(count);
+    }
+    admitted
+}
+
+/// Largest number in any five seconds.
+fn busiest(admitted: &[u32]) -> u32 {
+    let window = (Duration::from_secs(5).as_millis() / STEP.as_millis()) as usize;
+    admitted.windows(window).map(|w| w.iter().sum()).max().unwrap_or_default()
+}
+
+fn bound(rate: f64) -> f64 {
+    (rate * 5.0 + rate) * (1.0 + TOLERANCE.part) + TOLERANCE.tokens
+}
+
+#[test]
+fn a_customer_that_floods_all_daemons_stays_within_its_bound() {
+    let start = Instant::now();
+    let mut fleet = fleet(RATE, start);
+    // Idle for a minute first, so that all tokens have come together.
+    for round in 0..200 {
+        deposit(&mut fleet, start + Duration::from_millis(300 * round), round as usize);
+    }
+    let admitted = flood(&mut fleet, start + Duration::from_secs(60), 1_000);
+    let busiest = f64::from(busiest(&admitted));
+    assert!(busiest <= bound(RATE), "{busiest} of {}", bound(RATE));
+    assert!(busiest >= RATE * 5.0 * 0.9, "{busiest}");
+}
+
+#[test]
+fn daemons_that_start_again_do_not_add_much() {
+    let start = Instant::now();
+    let mut fleet = fleet(RATE, start);
+    let mut admitted = flood(&mut fleet, start, 300);
+    let again = start + STEP * 300 + Duration::from_secs(1);
+    admitted.extend([0; 100]);
+    fleet = self::fleet(RATE, again);
+    admitted.extend(flood(&mut fleet, again, 300));
+    let busiest = f64::from(busiest(&admitted));
+    assert!(busiest <= bound(RATE), "{busiest} of {}", bound(RATE));
+}
+
+#[test]
+fn a_lowered_rate_holds_at_once() {
+    let start = Instant::now();
+    let mut fleet = fleet(RATE, start);
+    for round in 0..100 {
+        deposit(&mut fleet, start + Duration::from_millis(300 * round), round as usize);
+    }
+    let now = start + Duration::from_secs(30);
+    for daemon in &mut fleet {
+        daemon.set_rates(&conf(5.0), now);
+    }
+    let busiest = f64::from(busiest(&flood(&mut fleet, now, 1_000)));
+    assert!(busiest <= bound(5.0), "{busiest} of {}", bound(5.0));
+}
+
+#[test]
+fn a_small_customer_is_served_through_its_depositary() {
+    let start = Instant::now();
+    let mut fleet = fleet(5.0, start);
+    for round in 0..20 {
+        deposit(&mut fleet, start + Duration::from_millis(300 * round), round as usize);
+    }
+    let now = start + Duration::from_secs(6);
+    assert_ne!(fleet[1].take("parish", now), Taken::Yes);
+    let gift = fleet[0].give("parish", Portion::Few, now);
+    fleet[1].receive("parish", gift, now);
+    assert_eq!(fleet[1].take("parish", now), Taken::Yes);
+}
+
+#[test]
+fn a_gift_is_no_longer_there() {
+    let start = Instant::now();
+    let mut fleet = fleet(RATE, start);
+    let now = start + Duration::from_secs(10);
+    let first = fleet[0].give("parish", Portion::Half, now);
+    let second = fleet[0].give("parish", Portion::Half, now);
+    assert!(first > 0.0 && (second - first / 2.0).abs() < 1e-9, "{first} {second}");
+}
+
+#[test]
+fn nothing_is_admitted_before_the_number_of_daemons_is_known() {
+    let now = Instant::now();
+    let mut split = Split::new(TOLERANCE);
+    split.set_rates(&conf(RATE), now);
+    assert!(matches!(split.take("parish", now), Taken::NotBefore(_)));
+}
+
+#[test]
+fn a_customer_without_a_limit_is_always_admitted() {
+    let now = Instant::now();
+    let mut split = Split::new(TOLERANCE);
+    split.set_daemons(DAEMONS, CENTRE, Some(&conf(0.0)), now);
+    assert_eq!(split.take("parish", now), Taken::Yes);
+}
--- /dev/null
+++ b/crates/relay/tests/registration.rs
@@ -0,0 +1,86 @@
+//! Heartbeats that are late, doubled, of an earlier start, or of a server that has left.
+
+use std::time::{Duration, Instant};
+
+use relay::handoff::Reason;
+use relay::registration::{Heartbeat, Noted, Registration};
+
+fn heartbeat(born: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        id: "s1".into(),
+        born,
+        sequence,
+        service: "sacristia".into(),
+        slots: 5,
+        draining: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn draining(born: u64, sequence: u64) -> Heartbeat {
+    Heartbeat { draining: true, ..heartbeat(born, sequence) }
+}
+
+fn registered(heartbeats: impl IntoIterator<Item = Heartbeat>) -> Registration {
+    let mut registration = Registration::default();
+    for heartbeat in heartbeats {
+        registration.note(heartbeat, Instant::now());
+    }
+    registration
+}
+
+#[test]
+fn a_registered_server_serves_its_service_only() {
+    let registration = registered([heartbeat(1, 1)]);
+    assert!(registration.serving("sacristia").is_ok());
+    assert_eq!(registration.serving("bodega").err(), Some(Reason::OtherService));
+}
+
+#[test]
+fn a_late_heartbeat_does_not_revive_a_draining_server() {
+    let mut registration = registered([heartbeat(1, 1), draining(1, 3)]);
+    assert_eq!(registration.note(heartbeat(1, 2), Instant::now()), Noted::Late);
+    assert_eq!(registration.serving("sacristia").err(), Some(Reason::Draining));
+}
+
+#[test]
+fn draining_is_final_for_one_start() {
+    let registration = registered([draining(1, 1), heartbeat(1, 2)]);
+    assert_eq!(registration.serving("sacristia").err(), Some(Reason::Draining));
+}
+
+#[test]
+fn a_new_start_serves_again_although_its_sequence_begins_anew() {
+    let registration = registered([heartbeat(1, 1), draining(1, 9), heartbeat(2, 1)]);
+    assert!(registration.serving("sacristia").is_ok());
+}
+
+#[test]
+fn a_heartbeat_of_an_earlier_start_changes_nothing() {
+    let mut registration = registered([heartbeat(2, 1)]);
+    assert_eq!(registration.note(draining(1, 99), Instant::now()), Noted::Outdated);
+    assert!(registration.serving("sacristia").is_ok());
+}
+
+#[test]
+fn a_server_that_left_is_not_revived_by_a_late_heartbeat() {
+    let mut registration = registered([heartbeat(5, 1)]);
+    assert!(registration.leave("s1", 10));
+    assert_eq!(registration.note(heartbeat(5, 2), Instant::now()), Noted::Outdated);
+    assert_eq!(registration.serving("sacristia").err(), Some(Reason::NoServer));
+}
+
+#[test]
+fn a_departure_counts_also_if_the_server_was_not_known() {
+    let mut registration = Registration::default();
+    assert!(!registration.leave("s1", 10));
+    assert_eq!(registration.note(heartbeat(5, 2), Instant::now()), Noted::Outdated);
+    assert_eq!(registration.note(heartbeat(11, 1), Instant::now()), Noted::Registered);
+}
+
+#[test]
+fn the_departure_of_another_server_changes_nothing() {
+    let mut registration = registered([heartbeat(5, 1)]);
+    assert!(!registration.leave("s0", 10));
+    assert!(registration.serving("sacristia").is_ok());
+}
