Keep one token at each daemon and give back those of requests that did not run

Change: daemons deposit all but one token; four groups of customers share depositaries; a request that is proven not to have run gives its token back. Rest of the cause: eight machines that went for good still count among 42 that divide the rate.

--- a/crates/limit/src/split.rs
+++ b/crates/limit/src/split.rs
@@ -18,8 +18,8 @@
 const GIFT_TOKENS: f64 = 2.0;
 /// Tokens below which a depositary asks those of other data centres.
 const LOW_POOL_TOKENS: f64 = 3.0;
-/// Largest part of a rate's burst for which a daemon deposits everything.
-const SMALL_DEPTH_TOKENS: f64 = 2.0;
+/// Tokens that a daemon keeps of a customer that it serves.
+const KEPT_TOKENS: f64 = 1.0;
 /// Time without requests of a customer after which a daemon deposits all its tokens.
 const IDLE_AFTER: Duration = Duration::from_secs(1);
 /// Part of all tokens that daemons may hold by their own refill; the rest may lie with depositaries.
@@ -29,7 +29,7 @@
 /// Longest time for which a request without a number of daemons is told to stay away.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
 /// Smallest deposit in tokens.
-const MIN_DEPOSIT: f64 = 0.05;
+const MIN_DEPOSIT: f64 = 0.2;
 
 /// Tokens by which the fleet may pass a customer's rate and burst in one window of the operators.
 #[derive(Clone, Copy, Debug)]
@@ -127,6 +127,13 @@
         Taken::NotBefore(Duration::from_secs_f64((missing / bucket.per_s).min(60.0)))
     }
 
+    /// Gives back the token of a request that has not run.
+    pub fn refund(&mut self, customer: &str) {
+        if let Some(bucket) = self.buckets.get_mut(customer) {
+            bucket.tokens += 1.0;
+        }
+    }
+
     /// Whether less is left than the next request, or a depositary, needs.
     pub fn is_low(&mut self, customer: &str, is_depositary: bool, now: Instant) -> bool {
         let Some(bucket) = self.buckets.get_mut(customer) else {
@@ -169,9 +176,12 @@
             }
             bucket.refill(now);
             let is_idle = bucket.wanted.is_none_or(|at| now.saturating_duration_since(at) > IDLE_AFTER);
-            let is_spare = is_idle || bucket.depth < SMALL_DEPTH_TOKENS;
-            if is_spare && bucket.tokens >= MIN_DEPOSIT {
-                out.push((name.clone(), std::mem::take(&mut bucket.tokens)));
+            // What a full bucket would refill is lost to the customer, so it never stays full.
+            let kept = if is_idle || bucket.depth < KEPT_TOKENS { 0.0 } else { KEPT_TOKENS };
+            let spare = bucket.tokens - kept;
+            if spare >= MIN_DEPOSIT.min(bucket.depth / 2.0) {
+                bucket.tokens = kept;
+                out.push((name.clone(), spare));
             }
         }
         out
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::{CustomerId, DaemonId, Refusal, RetryReason, event};
+use base::{CustomerId, DaemonId, Refusal, RetryReason, Run, event};
 use bytes::Bytes;
 use conf::{Route, Snapshot};
 use http_body_util::Full;
@@ -162,12 +162,18 @@
     let admitted = admit(node, req).await?;
     let is_sent = Cell::new(false);
     let attempts = Attempts::new(node, id, &admitted, &is_sent);
-    tokio::select! {
+    let done = tokio::select! {
         done = attempts.run() => done,
         () = node.ending.cancelled() => {
             Err(if is_sent.get() { Refusal::Broken } else { Refusal::Stopping }.into())
         }
-    }
+    };
+    done.map_err(|refused| {
+        if let Some(customer) = admitted.customer.as_ref().filter(|_| refused.refusal.run() == Run::No) {
+            node.split.borrow_mut().refund(customer);
+        }
+        Refused { customer: admitted.customer.clone(), ..refused }
+    })
 }
 
 /// Finds the route, judges the key, takes a token and reads the body.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -24,7 +24,7 @@
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 1_400;
 /// Interval at which spare tokens are deposited.
-const DEPOSIT_INTERVAL: Duration = Duration::from_millis(300);
+const DEPOSIT_INTERVAL: Duration = Duration::from_millis(400);
 /// Customers whose tokens fit one datagram.
 const MAX_GIFTS: usize = 32;
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -24,6 +24,8 @@
 const GONE_AFTER: Duration = Duration::from_secs(90);
 /// Time for which a daemon of which only the row is known is expected to be there.
 const LISTED_COUNTS: Duration = Duration::from_millis(1_500);
+/// Groups of customers with depositaries of their own.
+const CUSTOMER_GROUPS: u64 = 4;
 /// Chance that tokens are asked for in this region rather than another.
 const STAY_CHANCE: f64 = 0.85;
 /// Daemons of each other data centre to which a new one introduces itself.
@@ -349,7 +351,7 @@
     /// Daemon of this data centre with which tokens of a customer are deposited.
     pub fn depositary(&self, customer: &str, now: Instant) -> DaemonId {
         let heard = self.in_centre().map(|p| p.addr).filter(|addr| self.is_heard(addr, now));
-        rendezvous::owner(customer, heard.chain([self.me])).unwrap_or(self.me)
+        rendezvous::owner(&group(customer), heard.chain([self.me])).unwrap_or(self.me)
     }
 
     /// A depositary of a customer in another data centre, mostly one of this region.
@@ -359,7 +361,7 @@
         let in_region = |p: &&Peer| p.place.region == self.place.region;
         let others = self.by_addr.values().filter(is_other);
         let place = others.clone().filter(|p| in_region(p) == stays).map(|p| &p.place).choose(rng)?;
-        rendezvous::owner(customer, others.filter(|p| p.place == *place).map(|p| p.addr))
+        rendezvous::owner(&group(customer), others.filter(|p| p.place == *place).map(|p| p.addr))
     }
 
     /// Number of daemons of this data centre, this one included.
@@ -409,6 +411,11 @@
     }
 }
 
+/// Customers of one group share their depositaries, so that one datagram carries many deposits.
+fn group(customer: &str) -> String {
+    (rendezvous::stable_hash(customer.as_bytes()) % CUSTOMER_GROUPS).to_string()
+}
+
 /// A point in 0 to 1 that both daemons of a pair compute alike.
 fn pair_point(a: DaemonId, b: DaemonId) -> f64 {
     let (low, high) = if a < b { (a, b) } else { (b, a) };
