Take daemons that are gone out of the directory and the count

Change: a daemon whose server has left takes its row away when it stops; one of a data centre that was silent for 20 s is removed by the first of the others, which tells all data centres. Longer than most partitions: one that is only cut off goes on using its part.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,7 +10,7 @@
 
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
-use crate::peers::Listed;
+use crate::peers::{Gone, Listed};
 
 /// Start of the keys of daemons' rows.
 const PREFIX: &str = "daemon/";
@@ -22,6 +22,8 @@
 const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// Interval at which the rows are read again.
 const REREAD_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval at which silent daemons are looked for.
+const GONE_INTERVAL: Duration = Duration::from_secs(2);
 /// Attempts to introduce this daemon to those that were read.
 const INTRODUCTIONS: u32 = 3;
 /// Pause between them.
@@ -45,7 +47,43 @@
     loop {
         let spread = rand::rng().random_range(0.8..1.2);
         sleep(REREAD_INTERVAL.mul_f64(spread)).await;
-        persist(&node, &gossip, &*table).await;
+        let is_listed = persist(&node, &gossip, &*table).await;
+        if !is_listed && let Err(e) = write_own(&node, &*table).await {
+            event!(Warn, StoreDown, "purpose=directory error={e}");
+        }
+    }
+}
+
+/// Removes daemons of the data centre that have been silent for long. The first of those that are left does so.
+pub async fn remove_gone(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
+    loop {
+        sleep(GONE_INTERVAL).await;
+        let now = Instant::now();
+        let (rank, gone) = {
+            let peers = node.peers.borrow();
+            (peers.rank_in_centre(now), peers.silent_for_good(now))
+        };
+        if rank > 0 || node.proof_age().is_none_or(|age| age > GONE_INTERVAL) {
+            // Someone else's turn, or this daemon may be the one that is cut off.
+            continue;
+        }
+        for each in gone {
+            remove(&node, &gossip, &*table, each).await;
+        }
+    }
+}
+
+/// Takes a daemon out of the directory and tells the others.
+pub async fn remove(node: &Rc<Node>, gossip: &Gossip, table: &dyn Table, gone: Gone) {
+    let Gone { addr, incarnation, .. } = gone;
+    event!(Info, MemberDown, "daemon={addr} incarnation={incarnation} outcome=removed");
+    node.peers.borrow_mut().note_gone(gone);
+    node.count_members();
+    gossip::announce_gone(node, gossip, gone);
+    let commit = Commit { checks: Vec::new(), writes: vec![Write::delete(&format!("{PREFIX}{addr}"))] };
+    if let Err(e) = table.commit(&commit).await {
+        // The row stays; whoever reads it tries again once the daemon has been silent for long.
+        event!(Warn, StoreDown, "purpose=directory daemon={addr} error={e}");
     }
 }
 
@@ -127,7 +165,7 @@
     }
     node.has_directory.set(true);
     node.count_members();
-    let members = node.peers.borrow().members(now);
+    let members = node.peers.borrow().members();
     event!(Info, MemberUp, "source=store new={} members={members}", found.new);
     node.stale.notify_one();
     Ok(found)
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -201,6 +201,11 @@
         state.registration.server().map(|s| s.heartbeat.service.clone())
     }
 
+    /// Whether a server is registered that has not left.
+    pub fn has_server(&self) -> bool {
+        self.state.borrow().registration.server().is_some()
+    }
+
     /// What others should know of the server.
     pub fn report(&self, now: Instant) -> Report {
         let state = self.state.borrow();
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::BootTime;
 use crate::node::Node;
-use crate::peers::{Datagram, Hello, Listed, Status};
+use crate::peers::{Datagram, Gone, Hello, Listed, Status};
 
 /// Interval of states to each daemon of the data centre.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
@@ -146,6 +146,7 @@
             }
         }
         Datagram::Listed(listed) => note_listed(node, listed, now),
+        Datagram::Gone(gone) => note_gone(node, gossip, gone),
         Datagram::Ask(customer, portion) => {
             let tokens = node.split.borrow_mut().give(&customer, portion, now);
             if tokens > 0.0 {
@@ -188,6 +189,36 @@
     }
 }
 
+/// Takes in that a daemon is gone, and tells the data centre if asked to.
+fn note_gone(node: &Node, gossip: &Gossip, gone: Gone) {
+    if gone.addr == node.me.addr || !node.peers.borrow_mut().note_gone(gone) {
+        return;
+    }
+    event!(Info, MemberDown, "daemon={} incarnation={}", gone.addr, gone.incarnation);
+    node.links.forget(&gone.addr);
+    node.count_members();
+    if gone.spread {
+        let addrs: Vec<DaemonId> = node.peers.borrow().in_centre().map(|p| p.addr).collect();
+        for to in addrs {
+            gossip.send(to, &Datagram::Gone(Gone { spread: false, ..gone }));
+        }
+    }
+}
+
+/// Tells all data centres that a daemon is gone.
+pub fn announce_gone(node: &Node, gossip: &Gossip, gone: Gone) {
+    let (near, far): (Vec<DaemonId>, Vec<DaemonId>) = {
+        let peers = node.peers.borrow();
+        (peers.in_centre().map(|p| p.addr).collect(), peers.ambassadors())
+    };
+    for to in near {
+        gossip.send(to, &Datagram::Gone(Gone { spread: false, ..gone }));
+    }
+    for to in far {
+        gossip.send(to, &Datagram::Gone(Gone { spread: true, ..gone }));
+    }
+}
+
 fn note_member(node: &Node, listed: &Listed) {
     let Listed { addr, incarnation, place, service } = listed;
     let (region, centre) = (&place.region, &place.data_centre);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -284,7 +284,7 @@
             sent_at: BootTime::now(),
             echo: peers.said_at(to),
             hears_you: peers.is_heard(to, now),
-            members: peers.members(now) as u16,
+            members: peers.members() as u16,
         }
     }
 
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -20,8 +20,9 @@
 const FAR_SILENT_AFTER: Duration = Duration::from_millis(2_600);
 /// Daemons of each service in other data centres of the region with which states are exchanged, on average.
 const PARTNERS: f64 = 6.0;
-/// Time without a sign of a daemon of the region, or its row, after which it no longer counts as a member.
-const GONE_AFTER: Duration = Duration::from_secs(90);
+/// Silence after which a daemon counts as gone by those of its data centre. Longer than most partitions: one that
+/// is only cut off goes on using its part of the rates.
+const GONE_AFTER: Duration = Duration::from_secs(20);
 /// Time for which a daemon of which only the row is known is expected to be there.
 const LISTED_COUNTS: Duration = Duration::from_millis(1_500);
 /// Groups of customers with depositaries of their own.
@@ -49,6 +50,8 @@
     Status(Status),
     /// Introduces another daemon.
     Listed(Listed),
+    /// A daemon is gone for good.
+    Gone(Gone),
     /// Asks for tokens of a customer.
     Ask(CustomerId, Portion),
     /// Gives tokens of customers away.
@@ -102,6 +105,17 @@
     pub service: ServiceId,
 }
 
+/// A daemon that is gone for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gone {
+    /// Its address.
+    pub addr: DaemonId,
+    /// Process that is gone.
+    pub incarnation: Incarnation,
+    /// Whether the receiver should tell its data centre.
+    pub spread: bool,
+}
+
 /// What is known of one daemon.
 #[derive(Debug)]
 pub struct Peer {
@@ -184,10 +198,7 @@
             return false;
         }
         match self.by_addr.get_mut(&listed.addr) {
-            Some(peer) if peer.incarnation >= listed.incarnation => {
-                peer.listed_at = now;
-                false
-            }
+            Some(peer) if peer.incarnation >= listed.incarnation => false,
             _ => {
                 self.by_addr.insert(listed.addr, Peer::new(listed, now));
                 true
@@ -326,19 +337,32 @@
     }
 
     /// Number of daemons that are known, this one included.
-    pub fn members(&self, now: Instant) -> u32 {
-        let seen = |p: &&Peer| {
-            let last = p.heard_at.map_or(p.listed_at, |at| at.max(p.listed_at));
-            p.place.region != self.place.region || now.saturating_duration_since(last) < GONE_AFTER
-        };
-        self.by_addr.values().filter(seen).count() as u32 + 1
+    pub fn members(&self) -> u32 {
+        self.by_addr.len() as u32 + 1
+    }
+
+    /// Takes in that a daemon is gone; true if it was known.
+    pub fn note_gone(&mut self, gone: Gone) -> bool {
+        let known = self.by_addr.get(&gone.addr).map(|p| p.incarnation);
+        let is_over = known.is_some_and(|incarnation| incarnation <= gone.incarnation);
+        if is_over {
+            self.by_addr.remove(&gone.addr);
+        }
+        is_over
+    }
+
+    /// Daemons of this data centre that have been silent for so long that they count as gone.
+    pub fn silent_for_good(&self, now: Instant) -> Vec<Gone> {
+        let last = |p: &Peer| p.heard_at.map_or(p.listed_at, |at| at.max(p.listed_at));
+        let silent = self.in_centre().filter(|p| now.saturating_duration_since(last(p)) > GONE_AFTER);
+        silent.map(|p| Gone { addr: p.addr, incarnation: p.incarnation, spread: false }).collect()
     }
 
     /// Number of daemons that divide rates: as many as the best informed daemon of the data centre knows, so that a
     /// daemon that has just started does not take too large a part.
     pub fn dividers(&self, now: Instant) -> u32 {
         let heard = self.in_centre().filter(|p| self.is_heard(&p.addr, now));
-        heard.map(|p| p.members).fold(self.members(now), u32::max)
+        heard.map(|p| p.members).fold(self.members(), u32::max)
     }
 
     /// Position of this daemon among those of its data centre that were heard or listed lately, by address.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,13 +7,14 @@
 use store::Table;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::exit::Changed;
 use crate::gossip::Gossip;
 use crate::node::Node;
+use crate::peers::Gone;
 use crate::refresh::ConfigSource;
 use crate::{directory, gossip, links, listen, refresh};
 
@@ -21,6 +22,8 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time before the end of the grace period at which the daemon ends whatever still runs.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time for taking this daemon out of the directory.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time before that at which requests without an answer get one of the daemon's own.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
 /// Interval at which a stop looks whether all work has ended.
@@ -55,10 +58,15 @@
     spawn_local(gossip::send_states(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::deposit_tokens(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(refresh::refresh(Rc::clone(&node), source));
-    spawn_local(directory::keep(Rc::clone(&node), Rc::clone(&gossip), table));
+    spawn_local(directory::keep(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
+    spawn_local(directory::remove_gone(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
     spawn_local(watch_changes(Rc::clone(&node)));
     stop.cancelled().await;
     end(&node, &gossip, &connections, &closing).await;
+    if !node.exit.has_server() {
+        leave(&node, &gossip, &*table).await;
+    }
+    event!(Info, DaemonStopped, "callers={} at_server={}", node.callers(), node.exit.load());
 }
 
 /// Spreads changes of the server's state at once.
@@ -93,5 +101,13 @@
         // Cut at `end_by`: the system would kill the daemon soon after.
         let _ = timeout_at(end_by.into(), connections.wait()).await;
     }
-    event!(Info, DaemonStopped, "callers={} at_server={}", node.callers(), node.exit.load());
+}
+
+/// The server has left, so the instance goes too: takes this daemon out of the directory.
+async fn leave(node: &Rc<Node>, gossip: &Gossip, table: &dyn Table) {
+    let gone = Gone { addr: node.me.addr, incarnation: node.me.incarnation, spread: false };
+    let removed = timeout(LEAVE_TIMEOUT, directory::remove(node, gossip, table, gone)).await;
+    if removed.is_err() {
+        event!(Warn, StoreDown, "purpose=directory outcome=timeout");
+    }
 }
