Use parts of silent daemons as far as the tolerance of rates goes

Change: from 4 s of silence on, up to 6% of all parts are used by the others, less than the operators' tolerance of 10%.

--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -29,6 +29,10 @@
 const CUSTOMER_GROUPS: u64 = 4;
 /// Chance that tokens are asked for in this region rather than another.
 const STAY_CHANCE: f64 = 0.85;
+/// Silence after which a daemon's part of the rates may be used by others.
+const SILENT_PART_AFTER: Duration = Duration::from_secs(4);
+/// Part of all rates that may be used twice while daemons are silent; below the operators' tolerance.
+const TOLERATED_PART: f64 = 0.06;
 /// Daemons of each other data centre to which a new one introduces itself.
 const AMBASSADORS: usize = 2;
 /// Pause after a failed hand-off before a daemon is tried again.
@@ -359,10 +363,16 @@
     }
 
     /// Number of daemons that divide rates: as many as the best informed daemon of the data centre knows, so that a
-    /// daemon that has just started does not take too large a part.
+    /// daemon that has just started does not take too large a part. Parts of silent daemons are used by the others
+    /// as far as the tolerance of rates covers that they are only cut off.
     pub fn dividers(&self, now: Instant) -> u32 {
         let heard = self.in_centre().filter(|p| self.is_heard(&p.addr, now));
-        heard.map(|p| p.members).fold(self.members(), u32::max)
+        let known = heard.map(|p| p.members).fold(self.members(), u32::max);
+        let is_silent =
+            |p: &&Peer| p.heard_at.is_some_and(|at| now.saturating_duration_since(at) > SILENT_PART_AFTER);
+        let silent = self.by_addr.values().filter(is_silent).count() as u32;
+        let least = (f64::from(known) * (1.0 - TOLERATED_PART)).ceil() as u32;
+        known.saturating_sub(silent).max(least)
     }
 
     /// Position of this daemon among those of its data centre that were heard or listed lately, by address.
