Start pipelined requests before the ones in front of them are answered

Change: a head that arrives behind an unanswered request is started at once if its route may be repeated and it has no body; hyper's own reading stays authoritative.

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -47,7 +47,12 @@
 
 impl Framing {
     /// Takes the next bytes; true: a head can be read in two ways.
-    pub fn feed(&mut self, mut bytes: &[u8]) -> bool {
+    pub fn feed(&mut self, bytes: &[u8]) -> bool {
+        self.feed_heads(bytes, |_head, _length| {})
+    }
+
+    /// Takes the next bytes and shows each whole head with the length of its body, if that is known.
+    fn feed_heads(&mut self, mut bytes: &[u8], mut on_head: impl FnMut(&[u8], Option<u64>)) -> bool {
         while !bytes.is_empty() {
             match &mut self.state {
                 State::Done => return false,
@@ -75,11 +80,16 @@
                         return false;
                     };
                     bytes = &bytes[end - before..];
-                    self.state = match length(&head[..end]) {
+                    let length = length(&head[..end]);
+                    match length {
                         Length::Ambiguous => return true,
+                        Length::Known(n) => on_head(&head[..end], Some(n)),
+                        Length::Chunked => on_head(&head[..end], None),
+                    }
+                    self.state = match length {
                         Length::Known(0) => State::Head(Vec::new()),
                         Length::Known(n) => State::Body(n),
-                        Length::Chunked => State::Done,
+                        Length::Ambiguous | Length::Chunked => State::Done,
                     };
                 }
             }
@@ -121,6 +131,9 @@
     }
 }
 
+/// Is shown each whole head that arrives, with the length of its body if that is known.
+pub type OnHead = Box<dyn FnMut(&[u8], Option<u64>)>;
+
 /// A caller's stream whose framing is followed.
 #[derive(Debug)]
 pub struct Inspected {
@@ -129,22 +142,73 @@
     ambiguous: Arc<AtomicBool>,
 }
 
+/// A caller's stream that shows heads as soon as they arrive.
+#[derive(derive_more::Debug)]
+pub struct Shown {
+    inner: Inspected,
+    #[debug(skip)]
+    on_head: OnHead,
+}
+
+impl Shown {
+    /// Follows the framing of `stream` and shows its heads.
+    pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>, on_head: OnHead) -> Self {
+        Self { inner: Inspected::new(stream, ambiguous), on_head }
+    }
+}
+
+impl AsyncRead for Shown {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let Self { inner, on_head } = &mut *self;
+        inner.poll_inspected(cx, buf, on_head)
+    }
+}
+
+impl AsyncWrite for Shown {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.stream.is_write_vectored()
+    }
+}
+
 impl Inspected {
     /// Sets `ambiguous` before the bytes of an ambiguous head are passed on.
     pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>) -> Self {
         Self { stream, framing: Framing::default(), ambiguous }
     }
-}
 
-impl AsyncRead for Inspected {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+    fn poll_inspected(
+        &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
+        on_head: impl FnMut(&[u8], Option<u64>),
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if polled.is_ready() && self.framing.feed(&buf.filled()[before..]) {
+        if polled.is_ready() && self.framing.feed_heads(&buf.filled()[before..], on_head) {
             self.ambiguous.store(true, Relaxed);
             self.framing.state = State::Done;
         }
@@ -152,6 +216,16 @@
     }
 }
 
+impl AsyncRead for Inspected {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.poll_inspected(cx, buf, |_head, _length| {})
+    }
+}
+
 impl AsyncWrite for Inspected {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -95,7 +95,10 @@
 ///
 /// # Errors
 /// Fails if it breaks off or passes `limit` bytes.
-pub async fn hold(mut body: Incoming, limit: usize) -> Result<Bytes, HoldError> {
+pub async fn hold<B>(mut body: B, limit: usize) -> Result<Bytes, HoldError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     let mut held = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| HoldError::Broken)?;
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use conf::{Route, Snapshot};
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -91,7 +91,10 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
+pub async fn serve<B>(node: Rc<Node>, req: Request<B>) -> Response<Body>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     let _count = node.count_caller();
     node.metrics.requests.inc();
     let started = Instant::now();
@@ -158,7 +161,10 @@
     Response::from_parts(parts, Body::whole(""))
 }
 
-async fn try_serve(node: &Rc<Node>, id: &str, req: Request<Incoming>) -> Result<Response<Body>, Refused> {
+async fn try_serve<B>(node: &Rc<Node>, id: &str, req: Request<B>) -> Result<Response<Body>, Refused>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     let admitted = admit(node, req).await?;
     let is_sent = Cell::new(false);
     let attempts = Attempts::new(node, id, &admitted, &is_sent);
@@ -177,7 +183,10 @@
 }
 
 /// Finds the route, judges the key, takes a token and reads the body.
-async fn admit(node: &Rc<Node>, req: Request<Incoming>) -> Result<Admitted, Refused> {
+async fn admit<B>(node: &Rc<Node>, req: Request<B>) -> Result<Admitted, Refused>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
     let now = Instant::now();
     let (mut head, body) = req.into_parts();
     edge::hygiene::check(&head)?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,7 +1,7 @@
 //! A request's way from the daemon that takes it to the daemon beside its server.
 //!
 //! A backend server is reached only through the daemon on its instance. A request comes to the daemon on its
-//! caller's instance ([`listen`], [`entry`]), is handed to the daemon beside a server ([`links`], [`handoff`]),
+//! caller's instance ([`listen`], [`ahead`], [`entry`]), is handed to the daemon beside a server ([`links`], [`handoff`]),
 //! waits there for a slot and runs ([`exit`], [`pool`]). Daemons know each other by rows of the store
 //! ([`directory`]) and by datagrams ([`gossip`], [`peers`]); [`refresh`] and [`freshness`] keep the configuration
 //! proven. All state of a daemon is a [`node::Node`] on one thread.
@@ -24,6 +24,7 @@
 //! assert!(registration.serving("sacristia").is_ok());
 //! ```
 
+pub mod ahead;
 pub mod body;
 pub mod clock;
 pub mod directory;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 
-use edge::framing::Inspected;
+use edge::framing::Shown;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
@@ -18,8 +18,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::ahead::Ahead;
 use crate::body::Body;
-use crate::entry;
 use crate::node::Node;
 
 /// Smallest bound on a head that hyper takes.
@@ -65,11 +65,14 @@
         .auto_date_header(false)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
+    let ahead = Rc::new(Ahead::new(Rc::clone(&node)));
     let service = service_fn(|req| {
-        let (node, ambiguous) = (Rc::clone(&node), Arc::clone(&ambiguous));
-        Box::pin(async move { Ok::<_, Infallible>(answer(node, &ambiguous, req).await) })
+        let (node, ahead, ambiguous) = (Rc::clone(&node), Rc::clone(&ahead), Arc::clone(&ambiguous));
+        Box::pin(async move { Ok::<_, Infallible>(answer(&node, &ahead, &ambiguous, req).await) })
     });
-    let io = TokioIo::new(Inspected::new(stream, Arc::clone(&ambiguous)));
+    let shown = Rc::clone(&ahead);
+    let on_head = Box::new(move |head: &[u8], length| shown.note(head, length));
+    let io = TokioIo::new(Shown::new(stream, Arc::clone(&ambiguous), on_head));
     let mut conn = builder.serve_connection(io, service);
     let mut is_closing = false;
     loop {
@@ -91,7 +94,7 @@
 }
 
 /// Closes a connection and discards what its caller still sends.
-async fn linger(mut stream: Inspected) {
+async fn linger(mut stream: Shown) {
     let work = async {
         stream.shutdown().await?;
         let mut buf = [0; DISCARD_BYTES];
@@ -104,14 +107,19 @@
     }
 }
 
-async fn answer(node: Rc<Node>, ambiguous: &AtomicBool, req: Request<Incoming>) -> Response<Body> {
+async fn answer(
+    node: &Node,
+    ahead: &Ahead,
+    ambiguous: &AtomicBool,
+    req: Request<Incoming>,
+) -> Response<Body> {
     if ambiguous.load(Relaxed) {
         let mut rep = Response::new(Body::whole(""));
         *rep.status_mut() = StatusCode::BAD_REQUEST;
         rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return rep;
     }
-    let mut rep = entry::serve(Rc::clone(&node), req).await;
+    let mut rep = ahead.answer(req).await;
     if node.is_stopping() {
         rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -169,6 +169,50 @@
     });
 }
 
+#[test]
+fn a_pipelined_request_starts_before_the_one_in_front_is_answered() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Hang, Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two: String = (1..3).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 2).await;
+    });
+}
+
+#[test]
+fn a_pipelined_request_that_may_not_be_repeated_waits_for_its_turn() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(100), Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two = request("GET", "/stock/a", "r1", "") + &request("POST", "/order/a", "r2", "one crate");
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        let rep = common::read_until(&mut stream, "x-request-id: r1").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+        let ids: Vec<_> =
+            daemon.backend.seen.borrow().iter().map(|s| s.headers["x-request-id"].clone()).collect();
+        assert_eq!(ids[0], "r1");
+        common::read_until(&mut stream, "x-request-id: r2").await;
+        assert_eq!(daemon.runs(), 2);
+    });
+}
+
+#[test]
+fn pipelined_work_ends_when_the_caller_leaves() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Hang]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two: String = (1..3).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 2).await;
+        drop(stream);
+        eventually(|| daemon.node.exit.load() == 0).await;
+    });
+}
+
 fn without_keys(hasher: &KeyHasher) -> Snapshot {
     snapshot(hasher, 2, &[], 1_000_000.0)
 }
