Split entry and exit by their jobs, name a server's condition by one type

Change: attempts and sent are modules of their own; Condition and Repetition replace flags; lints clean.

--- a/crates/limit/tests/split.rs
+++ b/crates/limit/tests/split.rs
@@ -77,7 +77,7 @@
     for round in 0..200 {
         deposit(&mut fleet, start + Duration::from_millis(300 * round), round as usize);
     }
-    let admitted = flood(&mut fleet, start + Duration::from_secs(60), 1_000);
+    let admitted = flood(&mut fleet, start + Duration::from_mins(1), 1_000);
     let busiest = f64::from(busiest(&admitted));
     assert!(busiest <= bound(RATE), "{busiest} of {}", bound(RATE));
     assert!(busiest >= RATE * 5.0 * 0.9, "{busiest}");
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -27,11 +27,13 @@
     }
 
     /// The moment that lies `age` before this one.
+    #[must_use]
     pub fn before(self, age: Duration) -> Self {
         Self(self.0.saturating_sub(age))
     }
 
     /// The moment that lies `wait` after this one.
+    #[must_use]
     pub fn after(self, wait: Duration) -> Self {
         Self(self.0 + wait)
     }
--- a/crates/relay/src/exec.rs
+++ b/crates/relay/src/exec.rs
@@ -8,7 +8,7 @@
 where
     F: Future + 'static,
 {
-    fn execute(&self, future: F) {
-        tokio::task::spawn_local(future);
+    fn execute(&self, fut: F) {
+        tokio::task::spawn_local(fut);
     }
 }
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -12,27 +12,26 @@
 use base::{ServerId, event};
 use bytes::Bytes;
 use health::{GrayFilter, Shown};
-use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use route::Dispatch;
 use route::dispatch::{Offered, Pulled, Ticket, Work};
+use route::place::Condition;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::timeout_at;
 
-use crate::body::{Body, HOLD_BYTES, hold};
-use crate::handoff::{Order, Reason, Report, Verdict};
+use crate::body::Body;
+use crate::handoff::{Order, Reason, Repetition, Report, Verdict};
 use crate::names::Names;
 use crate::pool::{Conn, Pool};
 use crate::registration::{Born, Heartbeat, Noted, Registration};
+use crate::sent::Sent;
 use crate::times::RunTimes;
 
 /// Longest idle time of a connection that carries a request which may run only once: the server may
 /// have closed it.
 const FRESH_FOR_ONCE: Duration = Duration::from_millis(500);
 /// Longest idle time of a connection for other requests; the server's own timeout bounds it too.
-const FRESH_FOR_REPEATABLE: Duration = Duration::from_secs(60);
+const FRESH_FOR_REPEATABLE: Duration = Duration::from_mins(1);
 /// Pause after a failed connection before the server is tried again.
 const DOWN_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between the end of a failed test of a suspect server and the next test.
@@ -47,10 +46,6 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
 /// How many times the expected time it waits otherwise.
 const PATIENCE_FACTOR: u32 = 2;
-/// How many times its expected time a run takes before it counts as a failure.
-const OVERDUE_FACTOR: u32 = 5;
-/// Time past the deadline in which the server's own answer still counts.
-const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Slots of a server before its first heartbeat.
 const FIRST_SLOTS: usize = 1;
 
@@ -84,16 +79,23 @@
 }
 
 impl State {
-    fn may_test(&self, now: Instant) -> bool {
-        self.test.is_none() && now >= self.next_test
+    fn condition(&self, now: Instant) -> Condition {
+        let is_down = self.down_until.is_some_and(|until| now < until);
+        let is_idle = now.saturating_duration_since(self.last_offer) > IDLE_AFTER;
+        match (is_down || self.gray.is_suspect(now), is_idle) {
+            (true, _) if !is_down && self.test.is_none() && now >= self.next_test => Condition::Testable,
+            (true, _) => Condition::Suspect,
+            (false, true) => Condition::Unused,
+            (false, false) => Condition::Sound,
+        }
     }
 }
 
 /// The server beside this daemon, and the work in front of it.
 #[derive(Debug)]
 pub struct Exit {
-    names: Rc<Names>,
-    pool: Pool,
+    pub(crate) names: Rc<Names>,
+    pub(crate) pool: Pool,
     state: RefCell<State>,
     /// Set when the report has changed in a way that others should learn of at once.
     changed: Cell<Option<Changed>>,
@@ -206,12 +208,15 @@
         self.state.borrow().registration.server().is_some()
     }
 
+    /// Whether the server is thought to fail requests.
+    pub(crate) fn is_suspect(&self, now: Instant) -> bool {
+        self.state.borrow().gray.is_suspect(now)
+    }
+
     /// What others should know of the server.
     pub fn report(&self, now: Instant) -> Report {
         let state = self.state.borrow();
         let takes_work = state.registration.server().is_some_and(|s| !s.heartbeat.draining);
-        let is_down = state.down_until.is_some_and(|until| now < until);
-        let suspect = is_down || state.gray.is_suspect(now);
         let mean = state.times.mean().max(state.dispatch.longest_run(now) / 2);
         let mean = mean.mul_f64(1.0 + SHED_COST * state.shed);
         Report {
@@ -220,9 +225,7 @@
             waiting: state.dispatch.waiting() as u16,
             slots: state.dispatch.slots() as u16,
             mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
-            suspect,
-            wants_tests: suspect && !is_down && state.may_test(now),
-            wants_work: !suspect && now.saturating_duration_since(state.last_offer) > IDLE_AFTER,
+            condition: state.condition(now),
         }
     }
 
@@ -234,7 +237,8 @@
         let now = Instant::now();
         let deadline = now + order.deadline_left;
         let run = self.start(order, now, deadline).await?;
-        let fresh = if order.repeatable { FRESH_FOR_REPEATABLE } else { FRESH_FOR_ONCE };
+        let is_once = order.repetition == Repetition::Never;
+        let fresh = if is_once { FRESH_FOR_ONCE } else { FRESH_FOR_REPEATABLE };
         let conn = match timeout_at(deadline.into(), self.pool.take(fresh)).await {
             Ok(Ok(conn)) => conn,
             Ok(Err(e)) => {
@@ -280,10 +284,10 @@
         let mut state = self.state.borrow_mut();
         let server = state.registration.serving(&order.service).map_err(Verdict::declined)?;
         let server = server.heartbeat.id.clone();
-        let is_down = state.down_until.is_some_and(|until| now < until);
-        let suspect = is_down || state.gray.is_suspect(now);
-        let may_test = order.repeatable && !is_down && state.may_test(now);
-        if suspect && !may_test && !order.insist {
+        let condition = state.condition(now);
+        let is_repeatable = order.repetition != Repetition::Never;
+        let may_test = is_repeatable && condition == Condition::Testable;
+        if condition.is_suspect() && !may_test && !order.insist {
             return Err(Verdict::declined(Reason::Suspect));
         }
         state.last_offer = now;
@@ -305,7 +309,7 @@
                 return Err(Verdict::Declined { reason: Reason::Busy, free_in });
             }
         };
-        if suspect {
+        if condition.is_suspect() {
             state.test = Some(ticket);
         }
         drop(state);
@@ -332,13 +336,14 @@
     }
 
     /// Takes in whether the server refused to run a request that reached it.
-    fn note_arrival(&self, was_shed: bool) {
+    pub(crate) fn note_arrival(&self, was_shed: bool) {
         let mut state = self.state.borrow_mut();
         let target = if was_shed { 1.0 } else { 0.0 };
         state.shed += SHED_WEIGHT * (target - state.shed);
     }
 
-    fn observe(&self, shown: Shown, now: Instant) {
+    /// Takes in what a request showed of the server.
+    pub(crate) fn observe(&self, shown: Shown, now: Instant) {
         let mut state = self.state.borrow_mut();
         let was_suspect = state.gray.is_suspect(now);
         state.gray.observe(shown, now);
@@ -372,13 +377,16 @@
 /// A request at the server, and the slot that it holds.
 #[derive(Debug)]
 pub struct Run {
-    exit: Rc<Exit>,
+    pub(crate) exit: Rc<Exit>,
     ticket: Ticket,
-    server: ServerId,
+    /// Server that runs it.
+    pub(crate) server: ServerId,
     started: Instant,
     route_hash: u32,
-    conn: Option<Conn>,
-    keep_alive: Option<Duration>,
+    /// Connection that carries it, once its answer is passed on.
+    pub(crate) conn: Option<Conn>,
+    /// Idle timeout that the server states.
+    pub(crate) keep_alive: Option<Duration>,
 }
 
 impl Run {
@@ -408,124 +416,6 @@
     }
 }
 
-/// A request that has its slot and its connection.
-#[derive(Debug)]
-struct Sent<'a> {
-    order: &'a Order,
-    run: Run,
-    conn: Conn,
-    asked: Instant,
-    expected: Duration,
-    deadline: Instant,
-}
-
-impl Sent<'_> {
-    async fn finish(mut self, mut req: Request<Bytes>) -> Result<Response<Body>, Verdict> {
-        let exit = Rc::clone(&self.run.exit);
-        let id = req.headers().get(&exit.names.request_id).cloned();
-        set_headers(req.headers_mut(), &exit.names, self.order, &self.run.server, self.deadline);
-        let rep = self.head(req.map(Full::new)).await?;
-        if rep.headers().contains_key(&exit.names.not_run) || rep.status() == StatusCode::MISDIRECTED_REQUEST
-        {
-            exit.note_arrival(true);
-            return Err(Verdict::declined(Reason::Shed));
-        }
-        exit.note_arrival(false);
-        let is_own = rep.headers().get(&exit.names.request_id) == id.as_ref();
-        let is_signed = rep.headers().contains_key(&exit.names.signature);
-        if !is_own || (rep.status().is_success() && !is_signed) {
-            exit.observe(Shown::Failure, Instant::now());
-            return Err(Verdict::Broken);
-        }
-        self.body(rep).await
-    }
-
-    /// Sends the request and waits for the head of the answer.
-    async fn head(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Verdict> {
-        let exit = Rc::clone(&self.run.exit);
-        let patience = (self.expected * OVERDUE_FACTOR).max(self.order.objective_left);
-        let mut answered = std::pin::pin!(self.conn.sender().send_request(req));
-        let overdue = self.asked + patience;
-        let last = self.deadline + DEADLINE_SLACK;
-        if let Ok(rep) = timeout_at(overdue.min(last).into(), answered.as_mut()).await {
-            return rep.map_err(|_broken| broken(&exit));
-        }
-        if overdue < last {
-            exit.observe(Shown::Failure, Instant::now());
-            let is_suspect = exit.state.borrow().gray.is_suspect(Instant::now());
-            if self.order.may_break_off && is_suspect {
-                return Err(Verdict::Overdue);
-            }
-        }
-        tokio::select! {
-            rep = answered => rep.map_err(|_broken| broken(&exit)),
-            () = sleep_until(last.into()) => {
-                if overdue >= last {
-                    exit.observe(Shown::Failure, Instant::now());
-                }
-                Err(Verdict::Overdue)
-            }
-        }
-    }
-
-    /// Holds a small body until it is whole; passes a large one on.
-    async fn body(self, rep: Response<Incoming>) -> Result<Response<Body>, Verdict> {
-        let Self { mut run, conn, deadline, .. } = self;
-        let exit = Rc::clone(&run.exit);
-        let (mut parts, body) = rep.into_parts();
-        run.keep_alive = keep_alive(&parts.headers);
-        edge::hygiene::clean_answer(&mut parts.headers);
-        parts.headers.remove(&exit.names.server_load);
-        let is_small = body.size_hint().upper().is_none_or(|bytes| bytes <= HOLD_BYTES);
-        if !is_small {
-            run.conn = Some(conn);
-            return Ok(Response::from_parts(parts, Body::Passing(body, Some(run))));
-        }
-        let limit = usize::MAX;
-        let held = timeout_at((deadline + DEADLINE_SLACK).into(), hold(body, limit)).await;
-        let Ok(Ok(bytes)) = held else {
-            return Err(broken(&exit));
-        };
-        let now = Instant::now();
-        if parts.status.is_server_error() {
-            exit.observe(Shown::Failure, now);
-            exit.pool.put(conn, run.keep_alive, now);
-        } else {
-            run.conn = Some(conn);
-            run.finish(true, now);
-        }
-        Ok(Response::from_parts(parts, Body::whole(bytes)))
-    }
-}
-
-fn broken(exit: &Exit) -> Verdict {
-    exit.observe(Shown::Failure, Instant::now());
-    Verdict::Broken
-}
-
-fn set_headers(headers: &mut HeaderMap, names: &Names, order: &Order, server: &str, deadline: Instant) {
-    let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
-    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
-    headers.remove(&names.customer);
-    let mut set = |name, text: &str| {
-        if let Ok(value) = HeaderValue::from_str(text) {
-            headers.insert(name, value);
-        }
-    };
-    set(names.expected_server.clone(), server);
-    set(names.caller_service.clone(), &order.caller_service);
-    if let Some(customer) = &order.customer {
-        set(names.customer.clone(), customer);
-    }
-}
-
-/// The idle timeout that a server states, in whole seconds.
-fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
-    let stated = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = stated.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
-
 /// Tells all who wait that the server takes no more work; they may go elsewhere.
 fn send_away(state: &mut State) {
     for ticket in state.dispatch.clear_waiting() {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -145,7 +145,7 @@
                 gossip.send(from, &Datagram::Hello(node.hello(&from, true, false)));
             }
         }
-        Datagram::Listed(listed) => note_listed(node, listed, now),
+        Datagram::Listed(listed) => note_listed(node, &listed, now),
         Datagram::Gone(gone) => note_gone(node, gossip, gone),
         Datagram::Ask(customer, portion) => {
             let tokens = node.split.borrow_mut().give(&customer, portion, now);
@@ -182,10 +182,10 @@
     take_over(node, &status);
 }
 
-fn note_listed(node: &Rc<Node>, listed: Listed, now: Instant) {
+fn note_listed(node: &Rc<Node>, listed: &Listed, now: Instant) {
     let is_new = node.peers.borrow_mut().note_listed(listed.clone(), now);
     if is_new {
-        note_member(node, &listed);
+        note_member(node, listed);
     }
 }
 
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -6,6 +6,7 @@
 use conf::Rank;
 use derive_more::Display;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use route::place::Condition;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -35,9 +36,7 @@
     /// Whether a running request waits for it.
     pub nested: bool,
     /// Whether it may run more than once.
-    pub repeatable: bool,
-    /// Whether a run that takes far longer than expected may be broken off: another try is promised.
-    pub may_break_off: bool,
+    pub repetition: Repetition,
     /// Whether a suspect server shall run it all the same, for lack of another.
     pub insist: bool,
     /// Time left until its latency objective.
@@ -46,6 +45,17 @@
     pub deadline_left: Duration,
 }
 
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Repetition {
+    /// It may run once at most.
+    Never,
+    /// It may run again, but no further try is promised.
+    Allowed,
+    /// Another try will follow; a run that takes far longer than expected may be broken off.
+    Promised,
+}
+
 /// Why a request was declined. It has not run and will not.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
@@ -118,12 +128,8 @@
     pub slots: u16,
     /// Mean time of a run in milliseconds.
     pub mean_run_ms: u16,
-    /// Whether it is thought to fail requests.
-    pub suspect: bool,
-    /// Whether a repeatable request is wanted to test it.
-    pub wants_tests: bool,
-    /// Whether it is sound and has had no work for a while.
-    pub wants_work: bool,
+    /// What its own requests show.
+    pub condition: Condition,
 }
 
 /// Writes a message into a header as hexadecimal digits of its postcard form.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,7 +1,8 @@
 //! A request's way from the daemon that takes it to the daemon beside its server.
 //!
 //! A backend server is reached only through the daemon on its instance. A request comes to the daemon on its
-//! caller's instance ([`listen`], [`ahead`], [`entry`]), is handed to the daemon beside a server ([`links`], [`handoff`]),
+//! caller's instance ([`listen`], [`ahead`], [`entry`]), is handed to the daemon beside a server ([`attempts`],
+//! [`links`], [`handoff`]),
 //! waits there for a slot and runs ([`exit`], [`pool`]). Daemons know each other by rows of the store
 //! ([`directory`]) and by datagrams ([`gossip`], [`peers`]); [`refresh`] and [`freshness`] keep the configuration
 //! proven. All state of a daemon is a [`node::Node`] on one thread.
@@ -25,6 +26,7 @@
 //! ```
 
 pub mod ahead;
+pub mod attempts;
 pub mod body;
 pub mod clock;
 pub mod directory;
@@ -45,5 +47,6 @@
 pub mod refresh;
 pub mod registration;
 pub mod run;
+mod sent;
 pub mod socket;
 pub mod times;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -28,7 +28,7 @@
 /// Longest time until a connection to another daemon is open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval of pings while requests are under way.
-const PING_INTERVAL: Duration = Duration::from_millis(1_000);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a ping without answer ends a connection.
 const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Bytes that may be under way for one request.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,8 +14,8 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::attempts::AnswerSizes;
 use crate::clock::BootTime;
-use crate::entry::AnswerSizes;
 use crate::exit::Exit;
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -8,7 +8,7 @@
 use limit::Portion;
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use route::place::{Candidate, Distance, Load};
+use route::place::{Candidate, Condition, Distance, Load};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::BootTime;
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Its condition; a server that has got work since its report no longer asks for some.
+    fn condition(&self) -> Condition {
+        match self.report.map_or(Condition::Sound, |r| r.condition) {
+            Condition::Unused if self.pending > 0 => Condition::Sound,
+            known => known,
+        }
+    }
+
     fn takes_work(&self) -> bool {
         self.report.is_none_or(|r| r.takes_work)
     }
@@ -437,9 +445,7 @@
             index,
             distance,
             load: peer.load(),
-            suspect: peer.report.is_some_and(|r| r.suspect),
-            wants_tests: peer.report.is_some_and(|r| r.wants_tests),
-            wants_work: peer.report.is_some_and(|r| r.wants_work) && peer.pending == 0,
+            condition: peer.condition(),
             reachable: is_heard && !is_down,
         }
     }
--- a/crates/relay/src/refresh.rs
+++ b/crates/relay/src/refresh.rs
@@ -29,7 +29,7 @@
 /// How much longer each further daemon waits.
 const RANK_STEP: Duration = Duration::from_millis(120);
 /// Longest age of the proof before a daemon asks whatever its rank.
-const LAST_RANK_AGE: Duration = Duration::from_millis(2_000);
+const LAST_RANK_AGE: Duration = Duration::from_secs(2);
 /// How much longer than the one before it each daemon without a configuration waits for one of another's.
 const START_STEP: Duration = Duration::from_millis(300);
 /// Longest such wait.
@@ -166,7 +166,7 @@
         let since_start = started.elapsed();
         if node.conf().is_none() && since_start < LISTEN_FIRST {
             // The directory tells who else could ask.
-            let _woken = timeout(LISTEN_FIRST - since_start, node.stale.notified()).await;
+            let _woken = timeout(LISTEN_FIRST.saturating_sub(since_start), node.stale.notified()).await;
             continue;
         }
         if rank == 0 {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -80,8 +80,9 @@
 }
 
 async fn end(node: &Rc<Node>, gossip: &Gossip, connections: &TaskTracker, closing: &CancellationToken) {
-    let end_by = Instant::now() + node.bounds.grace.saturating_sub(GRACE_MARGIN);
-    let answer_by = end_by - ANSWER_MARGIN;
+    let grace = node.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let end_by = Instant::now() + grace;
+    let answer_by = Instant::now() + grace.saturating_sub(ANSWER_MARGIN);
     let linger_until = Instant::now() + LINGER;
     event!(Info, DaemonStopping, "callers={} at_server={}", node.callers(), node.exit.load());
     node.stop();
--- /dev/null
+++ b/crates/relay/src/sent.rs
@@ -0,0 +1,147 @@
+//! A request at the server: sends it, and judges what comes back.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use health::Shown;
+use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use tokio::time::{sleep_until, timeout_at};
+
+use crate::body::{Body, HOLD_BYTES, hold};
+use crate::exit::{Exit, Run};
+use crate::handoff::{Order, Reason, Repetition, Verdict};
+use crate::names::Names;
+use crate::pool::Conn;
+
+/// How many times its expected time a run takes before it counts as a failure.
+const OVERDUE_FACTOR: u32 = 5;
+/// Time past the deadline in which the server's own answer still counts.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// A request that has its slot and its connection.
+#[derive(Debug)]
+pub(crate) struct Sent<'a> {
+    pub(crate) order: &'a Order,
+    pub(crate) run: Run,
+    pub(crate) conn: Conn,
+    /// When the connection was ready.
+    pub(crate) asked: Instant,
+    /// Time that the run is expected to take.
+    pub(crate) expected: Duration,
+    pub(crate) deadline: Instant,
+}
+
+impl Sent<'_> {
+    /// Sends the request and returns the server's answer.
+    ///
+    /// # Errors
+    /// Fails with what became of the request instead.
+    pub(crate) async fn finish(mut self, mut req: Request<Bytes>) -> Result<Response<Body>, Verdict> {
+        let exit = Rc::clone(&self.run.exit);
+        let id = req.headers().get(&exit.names.request_id).cloned();
+        set_headers(req.headers_mut(), &exit.names, self.order, &self.run.server, self.deadline);
+        let rep = self.head(req.map(Full::new)).await?;
+        if rep.headers().contains_key(&exit.names.not_run) || rep.status() == StatusCode::MISDIRECTED_REQUEST
+        {
+            exit.note_arrival(true);
+            return Err(Verdict::declined(Reason::Shed));
+        }
+        exit.note_arrival(false);
+        let is_own = rep.headers().get(&exit.names.request_id) == id.as_ref();
+        let is_signed = rep.headers().contains_key(&exit.names.signature);
+        if !is_own || (rep.status().is_success() && !is_signed) {
+            exit.observe(Shown::Failure, Instant::now());
+            return Err(Verdict::Broken);
+        }
+        self.body(rep).await
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn head(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Verdict> {
+        let exit = Rc::clone(&self.run.exit);
+        let patience = (self.expected * OVERDUE_FACTOR).max(self.order.objective_left);
+        let mut answered = std::pin::pin!(self.conn.sender().send_request(req));
+        let overdue = self.asked + patience;
+        let last = self.deadline + DEADLINE_SLACK;
+        if let Ok(rep) = timeout_at(overdue.min(last).into(), answered.as_mut()).await {
+            return rep.map_err(|_broken| broken(&exit));
+        }
+        if overdue < last {
+            exit.observe(Shown::Failure, Instant::now());
+            let is_suspect = exit.is_suspect(Instant::now());
+            if self.order.repetition == Repetition::Promised && is_suspect {
+                return Err(Verdict::Overdue);
+            }
+        }
+        tokio::select! {
+            rep = answered => rep.map_err(|_broken| broken(&exit)),
+            () = sleep_until(last.into()) => {
+                if overdue >= last {
+                    exit.observe(Shown::Failure, Instant::now());
+                }
+                Err(Verdict::Overdue)
+            }
+        }
+    }
+
+    /// Holds a small body until it is whole; passes a large one on.
+    async fn body(self, rep: Response<Incoming>) -> Result<Response<Body>, Verdict> {
+        let Self { mut run, conn, deadline, .. } = self;
+        let exit = Rc::clone(&run.exit);
+        let (mut parts, body) = rep.into_parts();
+        run.keep_alive = keep_alive(&parts.headers);
+        edge::hygiene::clean_answer(&mut parts.headers);
+        parts.headers.remove(&exit.names.server_load);
+        let is_small = body.size_hint().upper().is_none_or(|bytes| bytes <= HOLD_BYTES);
+        if !is_small {
+            run.conn = Some(conn);
+            return Ok(Response::from_parts(parts, Body::Passing(body, Some(run))));
+        }
+        let limit = usize::MAX;
+        let held = timeout_at((deadline + DEADLINE_SLACK).into(), hold(body, limit)).await;
+        let Ok(Ok(bytes)) = held else {
+            return Err(broken(&exit));
+        };
+        let now = Instant::now();
+        if parts.status.is_server_error() {
+            exit.observe(Shown::Failure, now);
+            exit.pool.put(conn, run.keep_alive, now);
+        } else {
+            run.conn = Some(conn);
+            run.finish(true, now);
+        }
+        Ok(Response::from_parts(parts, Body::whole(bytes)))
+    }
+}
+
+fn broken(exit: &Exit) -> Verdict {
+    exit.observe(Shown::Failure, Instant::now());
+    Verdict::Broken
+}
+
+fn set_headers(headers: &mut HeaderMap, names: &Names, order: &Order, server: &str, deadline: Instant) {
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1) as u64;
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left));
+    headers.remove(&names.customer);
+    let mut set = |name, text: &str| {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    };
+    set(names.expected_server.clone(), server);
+    set(names.caller_service.clone(), &order.caller_service);
+    if let Some(customer) = &order.customer {
+        set(names.customer.clone(), customer);
+    }
+}
+
+/// The idle timeout that a server states, in whole seconds.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = stated.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! Daemons and scripted backend servers on loopback, with a configuration that a test gives them.
 
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Mutex, PoisonError};
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -9,7 +9,7 @@
     BootTime::at(Duration::from_millis(ms))
 }
 
-const LIMIT: Duration = Duration::from_millis(1_000);
+const LIMIT: Duration = Duration::from_secs(1);
 
 #[test]
 fn without_a_proof_nothing_is_fresh() {
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -7,6 +7,7 @@
 use relay::clock::BootTime;
 use relay::handoff::Report;
 use relay::peers::{Gone, Listed, Peers, Status};
+use route::place::Condition;
 
 fn addr(n: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7780))
@@ -23,9 +24,7 @@
         waiting: 0,
         slots: 5,
         mean_run_ms: 400,
-        suspect: false,
-        wants_tests: false,
-        wants_work: false,
+        condition: Condition::Sound,
     };
     Status {
         incarnation: 1,
--- a/crates/relay/tests/registration.rs
+++ b/crates/relay/tests/registration.rs
@@ -17,6 +17,11 @@
     }
 }
 
+/// Whether the registered server takes work of its service.
+fn serves(registration: &Registration) -> bool {
+    registration.serving("sacristia").is_ok()
+}
+
 fn draining(born: u64, sequence: u64) -> Heartbeat {
     Heartbeat { draining: true, ..heartbeat(born, sequence) }
 }
@@ -32,7 +37,7 @@
 #[test]
 fn a_registered_server_serves_its_service_only() {
     let registration = registered([heartbeat(1, 1)]);
-    assert!(registration.serving("sacristia").is_ok());
+    assert!(serves(&registration));
     assert_eq!(registration.serving("bodega").err(), Some(Reason::OtherService));
 }
 
@@ -52,14 +57,14 @@
 #[test]
 fn a_new_start_serves_again_although_its_sequence_begins_anew() {
     let registration = registered([heartbeat(1, 1), draining(1, 9), heartbeat(2, 1)]);
-    assert!(registration.serving("sacristia").is_ok());
+    assert!(serves(&registration));
 }
 
 #[test]
 fn a_heartbeat_of_an_earlier_start_changes_nothing() {
     let mut registration = registered([heartbeat(2, 1)]);
     assert_eq!(registration.note(draining(1, 99), Instant::now()), Noted::Outdated);
-    assert!(registration.serving("sacristia").is_ok());
+    assert!(serves(&registration));
 }
 
 #[test]
@@ -82,5 +87,5 @@
 fn the_departure_of_another_server_changes_nothing() {
     let mut registration = registered([heartbeat(5, 1)]);
     assert!(!registration.leave("s0", 10));
-    assert!(registration.serving("sacristia").is_ok());
+    assert!(serves(&registration));
 }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -1,7 +1,5 @@
 //! A request's way through one or two daemons: what servers see, what callers get.
 
-#![allow(dead_code, reason = "shared helpers")]
-
 mod common;
 
 use std::time::Duration;
@@ -38,7 +36,7 @@
         assert_eq!(status(&rep), 200, "{rep}");
         assert_eq!(fleet.daemons[0].runs(), 0);
         let seen = fleet.daemons[1].backend.seen.borrow()[0].clone();
-        assert_eq!(&seen.body[..], b"one crate");
+        assert_eq!(&*seen.body, b"one crate");
         assert_eq!(seen.headers["host"], "a");
         assert_eq!(seen.headers["x-expected-server"], "server-2");
         assert!(seen.headers.keys().all(|name| !name.as_str().starts_with("x-pomelo")));
@@ -278,7 +276,7 @@
         assert_eq!(status(&rep), 200, "{rep}");
         assert!(rep.contains("connection: close"), "{rep}");
         let ended = tokio::time::timeout(Duration::from_secs(10), daemon.ended.cancelled()).await;
-        assert!(ended.is_ok());
+        ended.expect("the daemon ends");
     });
 }
 
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -162,7 +162,7 @@
         (queued + held) / self.slots.max(1) as u32
     }
 
-    /// Longest overrun of a run over its expected time.
+    /// Time for which the oldest run has been going on.
     pub fn longest_run(&self, now: Instant) -> Duration {
         let runs = self.running.iter().map(|r| now.saturating_duration_since(r.started));
         runs.max().unwrap_or_default()
@@ -183,8 +183,9 @@
 /// Expected rest of a run; a run that has passed its expected time is likely to take as long again.
 fn residual(run: &Running, now: Instant) -> Duration {
     let elapsed = now.saturating_duration_since(run.started);
-    match run.expected.checked_sub(elapsed) {
-        Some(rest) => rest.max(run.expected.mul_f64(OVERRUN_PART)),
-        None => elapsed - run.expected + run.expected.mul_f64(OVERRUN_PART),
+    let least = run.expected.mul_f64(OVERRUN_PART);
+    match elapsed.checked_sub(run.expected) {
+        Some(overrun) => overrun + least,
+        None => run.expected.saturating_sub(elapsed).max(least),
     }
 }
--- a/crates/route/src/place.rs
+++ b/crates/route/src/place.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// Candidates drawn for one choice.
@@ -44,6 +45,26 @@
 /// Chance that a request goes to a sound server that has had none for a while.
 const IDLE_CHANCE: f64 = 0.2;
 
+/// What a server's own requests show of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    /// It answers as it should.
+    Sound,
+    /// It is sound and has had no work for a while.
+    Unused,
+    /// It is thought to fail requests.
+    Suspect,
+    /// It is thought to fail requests and asks for some that show whether it has recovered.
+    Testable,
+}
+
+impl Condition {
+    /// Whether requests that may run only once should go elsewhere.
+    pub fn is_suspect(self) -> bool {
+        matches!(self, Condition::Suspect | Condition::Testable)
+    }
+}
+
 /// What is known of a server's load.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -66,12 +87,8 @@
     pub distance: Distance,
     /// Its load as reported, with this daemon's own requests since.
     pub load: Load,
-    /// Whether it is thought to fail requests.
-    pub suspect: bool,
-    /// Whether it asks for requests that show if it has recovered.
-    pub wants_tests: bool,
-    /// Whether it is sound and has had no work for a while.
-    pub wants_work: bool,
+    /// What its own requests show.
+    pub condition: Condition,
     /// Whether the way to it works as far as is known.
     pub reachable: bool,
 }
@@ -90,16 +107,16 @@
 /// Chooses a candidate; none only if there are none.
 pub fn place(candidates: &[Candidate], need: &Need, rng: &mut impl Rng) -> Option<usize> {
     if need.repeatable {
-        let tests = |c: &Candidate| c.suspect && c.wants_tests && c.load.waiting == 0;
+        let tests = |c: &Candidate| c.condition == Condition::Testable && c.load.waiting == 0;
         if let Some(index) = now_and_then(candidates, TEST_CHANCE, tests, rng) {
             return Some(index);
         }
     }
-    let idle = |c: &Candidate| !c.suspect && c.wants_work;
+    let idle = |c: &Candidate| c.condition == Condition::Unused;
     if let Some(index) = now_and_then(candidates, IDLE_CHANCE, idle, rng) {
         return Some(index);
     }
-    let sound = |c: &&Candidate| !c.suspect && c.reachable;
+    let sound = |c: &&Candidate| !c.condition.is_suspect() && c.reachable;
     let bytes = need.bytes;
     let is_near = |c: &&Candidate| c.distance < Distance::Beyond;
     let near = draw(candidates.iter().filter(sound).filter(is_near), bytes, rng);
--- a/crates/route/tests/place.rs
+++ b/crates/route/tests/place.rs
@@ -4,7 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use route::place::{Candidate, Distance, Load, Need, completion, place};
+use route::place::{Candidate, Condition, Distance, Load, Need, completion, place};
 
 const ROUNDS: usize = 1_000;
 
@@ -13,9 +13,7 @@
         index,
         distance,
         load: Load { running, waiting: 0, slots: 5, mean_run: Duration::from_millis(400) },
-        suspect: false,
-        wants_tests: false,
-        wants_work: false,
+        condition: Condition::Sound,
         reachable: true,
     }
 }
@@ -82,14 +80,14 @@
 
 #[test]
 fn an_unrepeatable_request_avoids_a_suspect_server() {
-    let suspect = Candidate { suspect: true, wants_tests: true, ..candidate(0, Distance::Own, 0) };
+    let suspect = Candidate { condition: Condition::Testable, ..candidate(0, Distance::Own, 0) };
     let candidates = [suspect, candidate(1, Distance::Region, 4)];
     assert_eq!(chosen(&candidates, &need())[1], ROUNDS);
 }
 
 #[test]
 fn some_repeatable_requests_test_a_suspect_server() {
-    let suspect = Candidate { suspect: true, wants_tests: true, ..candidate(0, Distance::Region, 0) };
+    let suspect = Candidate { condition: Condition::Testable, ..candidate(0, Distance::Region, 0) };
     let candidates = [suspect, candidate(1, Distance::Own, 0)];
     let counts = chosen(&candidates, &Need { repeatable: true, ..need() });
     assert!(counts[0] > ROUNDS / 10 && counts[0] < ROUNDS / 2, "{counts:?}");
@@ -98,7 +96,7 @@
 #[test]
 fn a_sound_server_that_lies_idle_gets_work_although_it_once_seemed_slow() {
     let slow = Load { running: 0, waiting: 0, slots: 5, mean_run: Duration::from_secs(5) };
-    let idle = Candidate { load: slow, wants_work: true, ..candidate(0, Distance::Centre, 0) };
+    let idle = Candidate { load: slow, condition: Condition::Unused, ..candidate(0, Distance::Centre, 0) };
     let candidates = [idle, candidate(1, Distance::Centre, 0)];
     let counts = chosen(&candidates, &need());
     assert!(counts[0] > ROUNDS / 10, "{counts:?}");
