--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -206,9 +206,12 @@
     pub make: Cell<fn(&KeyHasher) -> Snapshot>,
     /// Whether the source answers.
     pub is_up: Cell<bool>,
+    /// Process that the source does not answer.
+    pub cut_off: Cell<Option<u64>>,
 }
 
 struct Reader {
+    incarnation: u64,
     source: Rc<Source>,
     hasher: KeyHasher,
 }
@@ -218,7 +221,7 @@
     async fn watch(&mut self, known: Version, _wait: Duration) -> Result<Change, StoreError> {
         let asked = BootTime::now();
         sleep(Duration::from_millis(20)).await;
-        if !self.source.is_up.get() {
+        if !self.source.is_up.get() || self.source.cut_off.get() == Some(self.incarnation) {
             return Err(StoreError::Down);
         }
         let snapshot = (self.source.make.get())(&self.hasher);
@@ -259,7 +262,7 @@
 
 /// A fleet whose daemons know each other; one daemon for each script.
 pub async fn fleet(scripts: &[&[Act]], make: fn(&KeyHasher) -> Snapshot) -> Fleet {
-    let source = Rc::new(Source { make: Cell::new(make), is_up: Cell::new(true) });
+    let source = Rc::new(Source { make: Cell::new(make), is_up: Cell::new(true), cut_off: Cell::new(None) });
     let rows = Rc::new(Rows::default());
     let mut daemons = Vec::new();
     for (n, script) in scripts.iter().enumerate() {
@@ -295,7 +298,7 @@
     let callers_addr = callers.local_addr().expect("a bound address");
     let (stop, ended) = (CancellationToken::new(), CancellationToken::new());
     let sockets = Sockets { callers, handoffs, datagrams };
-    let reader = Reader { source: Rc::clone(source), hasher };
+    let reader = Reader { incarnation: n + 1, source: Rc::clone(source), hasher };
     let table: Rc<dyn Table> = Rc::clone(rows) as Rc<dyn Table>;
     let running = run(Rc::clone(&node), sockets, reader, table, stop.clone());
     let done = ended.clone();
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -243,6 +243,35 @@
     });
 }
 
+/// The daemon that asks the source for its data centre.
+fn reader(fleet: &common::Fleet) -> &common::Daemon {
+    fleet.daemons.iter().min_by_key(|d| d.node.me.addr).expect("there are daemons")
+}
+
+#[test]
+fn a_daemon_that_is_cut_off_from_the_store_uses_its_neighbours_proofs() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer], &[Act::Answer]], conf).await;
+        let daemon = reader(&fleet);
+        fleet.source.cut_off.set(Some(daemon.node.me.incarnation));
+        let longer_than_a_proof = daemon.node.bounds.proof_age * 2;
+        tokio::time::sleep(longer_than_a_proof).await;
+        eventually(|| daemon.node.is_fresh()).await;
+        assert_eq!(status(&daemon.get("/stock/a", "r1").await), 200);
+    });
+}
+
+#[test]
+fn a_withdrawal_arrives_although_the_reader_of_the_data_centre_is_cut_off() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer], &[Act::Answer]], conf).await;
+        fleet.source.cut_off.set(Some(reader(&fleet).node.me.incarnation));
+        fleet.source.make.set(without_keys);
+        eventually(|| fleet.daemons.iter().all(|d| d.node.version() == 2)).await;
+        assert_eq!(status(&reader(&fleet).get("/stock/a", "r1").await), 401);
+    });
+}
+
 fn slow_rate(hasher: &KeyHasher) -> Snapshot {
     snapshot(hasher, 1, &[KEY], 0.001)
 }
