Answer pipelined requests that were started before a connection is closed by a stop

Change: a daemon that stops starts nothing ahead, and closes a connection only when nothing started is left on it.

--- a/crates/relay/src/ahead.rs
+++ b/crates/relay/src/ahead.rs
@@ -68,10 +68,22 @@
     pub fn note(&self, head: &[u8], length: Option<u64>) {
         let waits = *self.unanswered.borrow() > 0 || !self.seen.borrow().is_empty();
         let has_room = self.seen.borrow().len() < MAX_AHEAD;
-        let early = if waits && has_room && length == Some(0) { self.start(head) } else { None };
+        // A daemon that stops closes its connections, and what it has passed on must be answered before.
+        let may_start = waits && has_room && length == Some(0) && !self.node.is_stopping();
+        let early = if may_start { self.start(head) } else { None };
         self.seen.borrow_mut().push_back(early.map_or(Seen::Left, Seen::Started));
     }
 
+    /// Whether a request behind the one at its turn has been started, so that the connection has to stay open.
+    pub fn has_started(&self) -> bool {
+        self.seen.borrow().iter().any(|seen| matches!(seen, Seen::Started(_)))
+    }
+
+    /// Whether no request is at its turn or started ahead of it.
+    pub fn is_idle(&self) -> bool {
+        *self.unanswered.borrow() == 0 && !self.has_started()
+    }
+
     /// Answers a request whose turn has come, with the work that was started for it if there is any.
     pub async fn answer<B>(&self, req: Request<B>) -> Response<Body>
     where
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -30,6 +30,8 @@
 /// Longest time for which a closed connection is still read, so that unread bytes don't reset it before the caller
 /// has its answer.
 const LINGER: Duration = Duration::from_millis(500);
+/// Interval at which a connection that shall be closed is looked at.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Bytes read at once from a closed connection.
 const DISCARD_BYTES: usize = 4 * 1024;
 
@@ -84,7 +86,7 @@
                 }
                 break;
             }
-            () = closing.cancelled(), if !is_closing => {
+            () = may_close(&closing, &ahead), if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut conn).graceful_shutdown();
             }
@@ -93,6 +95,14 @@
     linger(conn.into_parts().io.into_inner()).await;
 }
 
+/// Waits until the connection shall be closed and no request that was passed on would be lost by it.
+async fn may_close(closing: &CancellationToken, ahead: &Ahead) {
+    closing.cancelled().await;
+    while !ahead.is_idle() {
+        tokio::time::sleep(CLOSE_INTERVAL).await;
+    }
+}
+
 /// Closes a connection and discards what its caller still sends.
 async fn linger(mut stream: Shown) {
     let work = async {
@@ -120,7 +130,7 @@
         return rep;
     }
     let mut rep = ahead.answer(req).await;
-    if node.is_stopping() {
+    if node.is_stopping() && !ahead.has_started() {
         rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     rep
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -309,6 +309,37 @@
     });
 }
 
+#[test]
+fn a_graceful_stop_answers_pipelined_requests_that_have_started() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(150), Act::After(600)]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two: String = (1..3).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 2).await;
+        daemon.stop.cancel();
+        let rep = common::read_until(&mut stream, "x-request-id: r2").await;
+        assert!(rep.contains("x-request-id: r1") && rep.contains("x-request-id: r2"), "{rep}");
+    });
+}
+
+#[test]
+fn a_daemon_that_stops_does_not_start_pipelined_requests_ahead() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(200), Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(request("GET", "/stock/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 1).await;
+        daemon.stop.cancel();
+        eventually(|| daemon.node.is_stopping()).await;
+        stream.write_all(request("GET", "/stock/a", "r2", "").as_bytes()).await.expect("the daemon reads");
+        common::read_until(&mut stream, "x-request-id: r1").await;
+        assert_eq!(daemon.runs(), 1);
+    });
+}
+
 #[test]
 fn a_draining_server_gets_nothing_more() {
     on_one_thread(async {
