Test the retry budget and callers that come shortly after the stop signal

Cause: two of eleven deliberate mutations were seen by no test: unbounded retries, and a stop that closes at once. Change: a test for each; both mutations are tried again on a scratch copy.

--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -340,6 +340,32 @@
     });
 }
 
+#[test]
+fn a_caller_that_comes_shortly_after_the_stop_signal_is_served() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        daemon.stop.cancel();
+        eventually(|| daemon.node.is_stopping()).await;
+        let rep = daemon.get("/stock/a", "r1").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+        assert!(rep.contains("connection: close"), "{rep}");
+    });
+}
+
+#[test]
+fn retries_stay_a_small_part_of_the_requests() {
+    const REQUESTS: usize = 100;
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Fail], &[Act::Fail], &[Act::Fail]], conf).await;
+        for n in 0..REQUESTS {
+            fleet.daemons[0].get("/stock/a", &format!("r{n}")).await;
+        }
+        let repeated = fleet.runs() - REQUESTS;
+        assert!(repeated > 0 && repeated <= REQUESTS / 5, "{repeated}");
+    });
+}
+
 #[test]
 fn a_draining_server_gets_nothing_more() {
     on_one_thread(async {
