Test that a kept connection is served after the stop signal

Cause: the mutation of a stop that closes at once was seen only by chance. Change: a test with a kept connection.

--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -353,6 +353,22 @@
     });
 }
 
+#[test]
+fn a_kept_connection_is_served_shortly_after_the_stop_signal() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(request("GET", "/stock/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        common::read_until(&mut stream, "whole").await;
+        daemon.stop.cancel();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        stream.write_all(request("GET", "/stock/a", "r2", "").as_bytes()).await.expect("the daemon reads");
+        let rep = common::read_until(&mut stream, "whole").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+    });
+}
+
 #[test]
 fn retries_stay_a_small_part_of_the_requests() {
     const REQUESTS: usize = 100;
