Stop listening and close unused connections once a stopping daemon takes no more callers

The listener stayed open, and hyper's graceful shutdown waits for the first request of a connection. Change: the listener is dropped and connections without a request are closed when idle connections are.

--- a/crates/relay/src/ahead.rs
+++ b/crates/relay/src/ahead.rs
@@ -5,7 +5,7 @@
 //! run more than once and has no body. hyper's own reading stays authoritative: work that was started is
 //! used only for the same request, and dropped otherwise.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -54,6 +54,8 @@
 pub struct Ahead {
     node: Rc<Node>,
     seen: RefCell<VecDeque<Seen>>,
+    /// Whether the connection has carried a request.
+    has_asked: Cell<bool>,
     /// Requests at their turn whose answers are not complete.
     unanswered: RefCell<usize>,
 }
@@ -61,11 +63,12 @@
 impl Ahead {
     /// For a new connection.
     pub fn new(node: Rc<Node>) -> Self {
-        Self { node, seen: RefCell::default(), unanswered: RefCell::new(0) }
+        Self { node, seen: RefCell::default(), has_asked: Cell::new(false), unanswered: RefCell::new(0) }
     }
 
     /// Takes in a head as soon as it arrives; `length` is that of its body, if known.
     pub fn note(&self, head: &[u8], length: Option<u64>) {
+        self.has_asked.set(true);
         let waits = *self.unanswered.borrow() > 0 || !self.seen.borrow().is_empty();
         let has_room = self.seen.borrow().len() < MAX_AHEAD;
         // A daemon that stops closes its connections, and what it has passed on must be answered before.
@@ -79,6 +82,11 @@
         self.seen.borrow().iter().any(|seen| matches!(seen, Seen::Started(_)))
     }
 
+    /// Whether the connection has carried a request.
+    pub fn has_asked(&self) -> bool {
+        self.has_asked.get()
+    }
+
     /// Whether no request is at its turn or started ahead of it.
     pub fn is_idle(&self) -> bool {
         *self.unanswered.borrow() == 0 && !self.has_started()
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -35,7 +35,7 @@
 /// Bytes read at once from a closed connection.
 const DISCARD_BYTES: usize = 4 * 1024;
 
-/// Accepts callers until the daemon ends and tracks their connections; `closing` asks for idle connections to be closed.
+/// Accepts callers until `closing` and tracks their connections; `closing` asks for idle connections to be closed.
 pub async fn listen(
     node: Rc<Node>,
     listener: TcpListener,
@@ -43,7 +43,12 @@
     closing: CancellationToken,
 ) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Dropping the listener refuses callers, who then know that nothing was read.
+            () = closing.cancelled() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 if let Err(e) = stream.set_nodelay(true) {
                     log::debug!("option of a caller's connection not set: {e}");
@@ -88,6 +93,10 @@
             }
             () = may_close(&closing, &ahead), if !is_closing => {
                 is_closing = true;
+                if !ahead.has_asked() {
+                    // hyper would still wait for the first request.
+                    break;
+                }
                 Pin::new(&mut conn).graceful_shutdown();
             }
         }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -369,6 +369,27 @@
     });
 }
 
+#[test]
+fn callers_that_come_long_after_the_stop_signal_are_not_read() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(4_000)], &[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        // A long request keeps the daemon from ending.
+        let mut busy = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        busy.write_all(request("POST", "/order/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        eventually(|| fleet.runs() == 1).await;
+        let mut quiet = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        daemon.stop.cancel();
+        tokio::time::sleep(Duration::from_millis(3_200)).await;
+        let late = quiet.write_all(request("POST", "/order/a", "r2", "").as_bytes()).await;
+        if late.is_ok() {
+            assert_eq!(common::read_until(&mut quiet, "\r\n\r\n").await, "");
+        }
+        TcpStream::connect(daemon.callers).await.expect_err("the daemon no longer listens");
+        assert_eq!(fleet.runs(), 1);
+    });
+}
+
 #[test]
 fn retries_stay_a_small_part_of_the_requests() {
     const REQUESTS: usize = 100;
