Use one copy of a request's host and of a report's load

Cause: reading the whole change again: the host of a request was taken out of its head in three places (edge::admit had it), a report became a load in two, a verdict was compared twice in a row, and a counter stood in a RefCell. Change: edge::admit::host and Report::load serve all; behaviour as before. The comment on find_route said that it asks; it refuses. Left: platform's query escape beside that of store::client, which escapes fewer characters.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -82,7 +82,7 @@
 }
 
 /// Host that the request names, without its port.
-fn host(parts: &Parts) -> Option<&str> {
+pub fn host(parts: &Parts) -> Option<&str> {
     let named = parts.uri.host().or_else(|| parts.headers.get(HOST)?.to_str().ok());
     named.map(|h| h.rsplit_once(':').map_or(h, |(name, _)| name))
 }
--- a/crates/relay/src/ahead.rs
+++ b/crates/relay/src/ahead.rs
@@ -57,19 +57,19 @@
     /// Whether the connection has carried a request.
     has_asked: Cell<bool>,
     /// Requests at their turn whose answers are not complete.
-    unanswered: RefCell<usize>,
+    unanswered: Cell<usize>,
 }
 
 impl Ahead {
     /// For a new connection.
     pub fn new(node: Rc<Node>) -> Self {
-        Self { node, seen: RefCell::default(), has_asked: Cell::new(false), unanswered: RefCell::new(0) }
+        Self { node, seen: RefCell::default(), has_asked: Cell::new(false), unanswered: Cell::new(0) }
     }
 
     /// Takes in a head as soon as it arrives; `length` is that of its body, if known.
     pub fn note(&self, head: &[u8], length: Option<u64>) {
         self.has_asked.set(true);
-        let waits = *self.unanswered.borrow() > 0 || !self.seen.borrow().is_empty();
+        let waits = self.unanswered.get() > 0 || !self.seen.borrow().is_empty();
         let has_room = self.seen.borrow().len() < MAX_AHEAD;
         // A daemon that stops closes its connections, and what it has passed on must be answered before.
         let may_start = waits && has_room && length == Some(0) && !self.node.is_stopping();
@@ -89,7 +89,7 @@
 
     /// Whether no request is at its turn or started ahead of it.
     pub fn is_idle(&self) -> bool {
-        *self.unanswered.borrow() == 0 && !self.has_started()
+        self.unanswered.get() == 0 && !self.has_started()
     }
 
     /// Answers a request whose turn has come, with the work that was started for it if there is any.
@@ -98,14 +98,14 @@
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
         let seen = self.seen.borrow_mut().pop_front();
-        *self.unanswered.borrow_mut() += 1;
+        self.unanswered.set(self.unanswered.get() + 1);
         let rep = match seen {
             Some(Seen::Started(early)) if early.is_for(&req, &self.node) => {
                 early.finish(&self.node, req).await
             }
             _ => entry::serve(Rc::clone(&self.node), req).await,
         };
-        *self.unanswered.borrow_mut() -= 1;
+        self.unanswered.set(self.unanswered.get() - 1);
         rep
     }
 
@@ -122,8 +122,7 @@
     }
 
     fn is_repeatable(&self, parts: &Parts) -> bool {
-        let host = parts.headers.get("host").and_then(|h| h.to_str().ok());
-        let host = host.map(|h| h.rsplit_once(':').map_or(h, |(name, _)| name));
+        let host = edge::admit::host(parts);
         let conf = self.node.conf();
         let route = conf.as_ref().and_then(|c| c.match_route(host, parts.uri.path(), parts.method.as_str()));
         parts.method == Method::GET && route.is_some_and(|r| r.is_repeatable(parts.method.as_str()))
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response, Uri};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::place::{Candidate, Distance, Load, Need, place};
+use route::place::{Candidate, Distance, Need, place};
 use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
@@ -172,11 +172,12 @@
                 Ok(RetryReason::Connect)
             }
             Verdict::Broken | Verdict::Overdue => {
-                let refusal = if verdict == Verdict::Broken { Refusal::Broken } else { Refusal::TimedOut };
+                let (refusal, reason) = match verdict {
+                    Verdict::Broken => (Refusal::Broken, RetryReason::Broken),
+                    _ => (Refusal::TimedOut, RetryReason::Silent),
+                };
                 self.unknown = Some(refusal);
                 self.reached += 1;
-                let reason =
-                    if verdict == Verdict::Broken { RetryReason::Broken } else { RetryReason::Silent };
                 if self.repeatable { Ok(reason) } else { Err(refusal.into()) }
             }
         }
@@ -247,16 +248,10 @@
         {
             return;
         }
-        let load = Load {
-            running: u32::from(report.running),
-            waiting: u32::from(report.waiting),
-            slots: u32::from(report.slots),
-            mean_run: Duration::from_millis(u64::from(report.mean_run_ms)),
-        };
         candidates.push(Candidate {
             index: addrs.len(),
             distance: Distance::Own,
-            load,
+            load: report.load(0),
             condition: report.condition,
             reachable: true,
         });
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -197,16 +197,14 @@
     headers.get(&node.names.request_id).map_or(&[], HeaderValue::as_bytes)
 }
 
-/// Finds the route. A daemon whose proof is old may not know a new route yet and asks first.
+/// Finds the route. A daemon whose proof is old may not know a new route yet, so it does not say that there is none.
 fn find_route(
     node: &Node,
     conf: Arc<Snapshot>,
     head: &Parts,
 ) -> Result<(Arc<Snapshot>, Arc<Route>), Refused> {
     let found = |conf: &Snapshot| {
-        let named = head.uri.host().or_else(|| head.headers.get(HOST)?.to_str().ok());
-        let host = named.map(|h| h.rsplit_once(':').map_or(h, |(name, _)| name));
-        conf.match_route(host, head.uri.path(), head.method.as_str()).cloned()
+        conf.match_route(edge::admit::host(head), head.uri.path(), head.method.as_str()).cloned()
     };
     if let Some(route) = found(&conf) {
         return Ok((conf, route));
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -6,7 +6,7 @@
 use conf::Rank;
 use derive_more::Display;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use route::place::Condition;
+use route::place::{Condition, Load};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -132,6 +132,18 @@
     pub condition: Condition,
 }
 
+impl Report {
+    /// The server's load, with `pending` hand-offs under way that the report does not know.
+    pub fn load(&self, pending: u32) -> Load {
+        Load {
+            running: u32::from(self.running) + pending,
+            waiting: u32::from(self.waiting),
+            slots: u32::from(self.slots),
+            mean_run: Duration::from_millis(u64::from(self.mean_run_ms)),
+        }
+    }
+}
+
 /// Writes a message into a header as hexadecimal digits of its postcard form.
 pub fn put<T: Serialize>(headers: &mut HeaderMap, name: &HeaderName, message: &T) {
     let Ok(bytes) = postcard::to_stdvec(message) else {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -169,12 +169,7 @@
             let (running, slots) = (self.pending, UNKNOWN_SLOTS);
             return Load { running, waiting: 0, slots, mean_run: UNKNOWN_RUN };
         };
-        Load {
-            running: u32::from(report.running) + self.pending,
-            waiting: u32::from(report.waiting),
-            slots: u32::from(report.slots),
-            mean_run: Duration::from_millis(u64::from(report.mean_run_ms)),
-        }
+        report.load(self.pending)
     }
 
     /// Its condition; a server that has got work since its report no longer asks for some.
