Log answers that were cut, bytes that came too late, and what a stop left behind

Callers saw downloads end in the middle; the logs said RequestAnswered, which is written when the answer's head is there. Whether its bytes were still in the process (H1), in the socket (H2), or the process ended (H3) could not be told.

Added, without a change of logic: AnswerCut (E0708) with the id, the length, the bytes written and whether bytes were still held or the body broke; BytesDiscarded (E0709); GraceExceeded (E0105); open connections in DaemonStopping and DaemonStopped; counter pomelo_answers_cut_total.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -28,6 +28,7 @@
     102 DaemonStopping "The daemon received a stop signal and takes no new work.";
     103 DaemonStopped "All accepted work is finished and the daemon exits.";
     104 SettingRefused "A flag or environment variable has a value that can't be used.";
+    105 GraceExceeded "The grace period of a stop ended before all accepted work did.";
     201 MemberUp "A daemon joined or came back.";
     202 MemberSuspect "A daemon did not answer direct and indirect probes.";
     203 MemberDown "A daemon is considered gone.";
@@ -63,6 +64,8 @@
     705 RequestAnswered "A server's answer was returned.";
     706 RequestFailed "An attempt at a request was declined or failed.";
     707 RequestDeclined "The daemon beside a server did not give it a request.";
+    708 AnswerCut "A caller's connection ended before its last answer was sent whole.";
+    709 BytesDiscarded "Bytes came on a caller's connection after the daemon had closed it.";
     801 SettingsReloaded "The settings were read again.";
     802 LogDropped "Log lines were dropped because the writer was behind.";
 }
--- /dev/null
+++ b/crates/relay/src/delivery.rs
@@ -0,0 +1,182 @@
+//! How much of an answer has left the daemon on its caller's connection.
+//!
+//! hyper buffers what the socket doesn't take. It flushes the stream below it only once that buffer is empty, so a
+//! write without a later flush means that bytes are still held in this process.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::{Debug, Display};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// How an answer stood when its connection ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Cut {
+    /// Its body did not end.
+    #[display("body-broken")]
+    Body,
+    /// Bytes of it had not been written to the socket.
+    #[display("unsent")]
+    Unsent,
+}
+
+/// The last answer on a connection.
+#[derive(Clone, Debug)]
+pub struct LastAnswer {
+    /// Id of its request, as shown in logs.
+    pub id: Box<str>,
+    /// Status.
+    pub status: u16,
+    /// Length of its body, if that is known.
+    pub bytes: Option<u64>,
+}
+
+/// State of the answers on one connection.
+#[derive(Debug, Default)]
+pub struct Delivery {
+    last: RefCell<Option<LastAnswer>>,
+    /// Whether the last answer's body has been handed over whole.
+    is_body_whole: Cell<bool>,
+    /// Whether something was written since the last flush.
+    has_unsent: Cell<bool>,
+    /// Bytes written to the socket since the last answer began.
+    written: Cell<u64>,
+}
+
+impl Delivery {
+    /// Takes in that an answer begins; one to a HEAD request has no body to hand over.
+    pub fn begin(&self, answer: LastAnswer, has_body: bool) {
+        self.is_body_whole.set(!has_body || answer.bytes == Some(0));
+        self.last.replace(Some(answer));
+        self.written.set(0);
+    }
+
+    /// The last answer, if it was not sent whole, with how it stood.
+    pub fn cut(&self) -> Option<(LastAnswer, Cut)> {
+        let answer = self.last.borrow().clone()?;
+        if !self.is_body_whole.get() {
+            return Some((answer, Cut::Body));
+        }
+        self.has_unsent.get().then_some((answer, Cut::Unsent))
+    }
+
+    /// Bytes written to the socket since the last answer began, head included.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    fn note_write(&self, polled: &Poll<io::Result<usize>>) {
+        self.has_unsent.set(true);
+        if let Poll::Ready(Ok(len)) = polled {
+            self.written.set(self.written.get() + *len as u64);
+        }
+    }
+}
+
+/// A stream whose writes are followed.
+#[derive(Debug)]
+pub struct Followed<S> {
+    #[debug(skip)]
+    stream: S,
+    delivery: Rc<Delivery>,
+}
+
+impl<S> Followed<S> {
+    /// Notes the writes to `stream` in `delivery`.
+    pub fn new(stream: S, delivery: Rc<Delivery>) -> Self {
+        Self { stream, delivery }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Followed<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Followed<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.delivery.note_write(&polled);
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.delivery.has_unsent.set(false);
+        }
+        polled
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.delivery.note_write(&polled);
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// A body that tells whether it was handed over whole.
+#[derive(Debug)]
+pub struct FollowedBody<B: HttpBody> {
+    body: B,
+    delivery: Rc<Delivery>,
+}
+
+impl<B: HttpBody> FollowedBody<B> {
+    /// Notes in `delivery` whether `body` ends.
+    pub fn new(body: B, delivery: Rc<Delivery>) -> Self {
+        Self { body, delivery }
+    }
+}
+
+impl<B: HttpBody<Data = Bytes> + Unpin> HttpBody for FollowedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        // hyper doesn't poll beyond a stated length.
+        let is_whole = match &polled {
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream() || self.body.size_hint().exact() == Some(0),
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        if is_whole {
+            self.delivery.is_body_whole.set(true);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,7 +1,7 @@
 //! A request's way from the daemon that takes it to the daemon beside its server.
 //!
 //! A backend server is reached only through the daemon on its instance. A request comes to the daemon on its
-//! caller's instance ([`listen`], [`ahead`], [`entry`]), is handed to the daemon beside a server ([`attempts`],
+//! caller's instance ([`listen`], [`delivery`], [`ahead`], [`entry`]), is handed to the daemon beside a server ([`attempts`],
 //! [`links`], [`handoff`]),
 //! waits there for a slot and runs ([`exit`], [`slot`], [`pool`]). Daemons know each other by rows of the store
 //! ([`directory`]) and by datagrams ([`gossip`], [`peers`]); [`refresh`] and [`freshness`] keep the configuration
@@ -29,6 +29,7 @@
 pub mod attempts;
 pub mod body;
 pub mod clock;
+pub mod delivery;
 pub mod directory;
 pub mod entry;
 mod exec;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -7,11 +7,12 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 
+use base::event;
 use edge::framing::Shown;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +21,7 @@
 
 use crate::ahead::Ahead;
 use crate::body::Body;
+use crate::delivery::{Delivery, Followed, FollowedBody, LastAnswer};
 use crate::node::Node;
 
 /// Smallest bound on a head that hyper takes.
@@ -73,20 +75,29 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
     let ahead = Rc::new(Ahead::new(Rc::clone(&node)));
-    let service = service_fn(|req| {
+    let delivery = Rc::new(Delivery::default());
+    let service = service_fn(|req: Request<Incoming>| {
         let (node, ahead, ambiguous) = (Rc::clone(&node), Rc::clone(&ahead), Arc::clone(&ambiguous));
-        Box::pin(async move { Ok::<_, Infallible>(answer(&node, &ahead, &ambiguous, req).await) })
+        let delivery = Rc::clone(&delivery);
+        Box::pin(async move {
+            let (id, has_body) = (shown_id(&node, &req), req.method() != Method::HEAD);
+            let rep = answer(&node, &ahead, &ambiguous, req).await;
+            let bytes = rep.body().size_hint().exact();
+            delivery.begin(LastAnswer { id, status: rep.status().as_u16(), bytes }, has_body);
+            Ok::<_, Infallible>(rep.map(|body| FollowedBody::new(body, delivery)))
+        })
     });
     let shown = Rc::clone(&ahead);
     let on_head = Box::new(move |head: &[u8], length| shown.note(head, length));
-    let io = TokioIo::new(Shown::new(stream, Arc::clone(&ambiguous), on_head));
+    let stream = Shown::new(stream, Arc::clone(&ambiguous), on_head);
+    let io = TokioIo::new(Followed::new(stream, Rc::clone(&delivery)));
     let mut conn = builder.serve_connection(io, service);
     let mut is_closing = false;
     loop {
         tokio::select! {
             ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => {
-                if let Err(e) = ended {
-                    log::debug!("connection of a caller ended: {e}");
+                note_cut(&node, &delivery, ended.as_ref().err());
+                if ended.is_err() {
                     return;
                 }
                 break;
@@ -104,6 +115,30 @@
     linger(conn.into_parts().io.into_inner()).await;
 }
 
+/// Id of a request as logs show it.
+fn shown_id(node: &Node, req: &Request<Incoming>) -> Box<str> {
+    let id = req.headers().get(&node.names.request_id).and_then(|v| v.to_str().ok());
+    id.unwrap_or("-").into()
+}
+
+/// Logs an answer that was not sent whole when its connection ended.
+fn note_cut(node: &Node, delivery: &Delivery, error: Option<&hyper::Error>) {
+    if let Some(e) = error {
+        log::debug!("connection of a caller ended: {e}");
+    }
+    let Some((answer, cut)) = delivery.cut() else { return };
+    node.metrics.answers_cut.with_label_values(&[&cut.to_string()]).inc();
+    let LastAnswer { id, status, bytes } = answer;
+    let (written, is_stopping) = (delivery.written(), node.is_stopping());
+    let bytes = bytes.map_or(-1, |bytes| bytes as i64);
+    let error = error.map_or_else(|| "-".to_owned(), ToString::to_string);
+    event!(
+        Info,
+        AnswerCut,
+        "id={id} status={status} bytes={bytes} written={written} outcome={cut} stopping={is_stopping} error={error}"
+    );
+}
+
 /// Waits until the connection shall be closed and no request that was passed on would be lost by it.
 async fn may_close(closing: &CancellationToken, ahead: &Ahead) {
     closing.cancelled().await;
@@ -113,17 +148,25 @@
 }
 
 /// Closes a connection and discards what its caller still sends.
-async fn linger(mut stream: Shown) {
+async fn linger(mut stream: Followed<Shown>) {
+    let mut discarded = 0;
     let work = async {
         stream.shutdown().await?;
         let mut buf = [0; DISCARD_BYTES];
-        while stream.read(&mut buf).await? > 0 {}
-        std::io::Result::Ok(())
+        loop {
+            match stream.read(&mut buf).await? {
+                0 => return std::io::Result::Ok(()),
+                len => discarded += len,
+            }
+        }
     };
     match tokio::time::timeout(LINGER, work).await {
         Ok(Ok(())) | Err(_) => {}
         Ok(Err(e)) => log::debug!("connection of a caller broke while it was closed: {e}"),
     }
+    if discarded > 0 {
+        event!(Info, BytesDiscarded, "bytes={discarded}");
+    }
 }
 
 async fn answer(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -17,6 +17,8 @@
     pub declines: IntCounterVec,
     /// Further tries, by reason.
     pub retries: IntCounterVec,
+    /// Answers that were not sent whole when their connection ended, by what was missing.
+    pub answers_cut: IntCounterVec,
     /// Callers that left before their answer.
     pub cancelled: IntCounter,
     /// Time from request to answer.
@@ -48,6 +50,7 @@
             refusals: by_reason("pomelo_refusals_total", "Requests that the daemon answered itself."),
             declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
+            answers_cut: by_reason("pomelo_answers_cut_total", "Answers that were not sent whole."),
             cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             seconds,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -67,7 +67,8 @@
     if !node.exit.has_server() {
         leave(&node, &gossip, &*table).await;
     }
-    event!(Info, DaemonStopped, "callers={} at_server={}", node.callers(), node.exit.load());
+    let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
+    event!(Info, DaemonStopped, "callers={callers} connections={open} at_server={at_server}");
 }
 
 /// Spreads changes of the server's state at once.
@@ -85,7 +86,8 @@
     let end_by = Instant::now() + grace;
     let answer_by = Instant::now() + grace.saturating_sub(ANSWER_MARGIN);
     let linger_until = Instant::now() + LINGER;
-    event!(Info, DaemonStopping, "callers={} at_server={}", node.callers(), node.exit.load());
+    let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
+    event!(Info, DaemonStopping, "callers={callers} connections={open} at_server={at_server}");
     node.stop();
     gossip::announce(node, gossip);
     sleep_until(linger_until.into()).await;
@@ -99,6 +101,8 @@
         }
     };
     if timeout_at(answer_by.into(), idle).await.is_err() {
+        let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
+        event!(Warn, GraceExceeded, "callers={callers} connections={open} at_server={at_server}");
         node.ending.cancel();
         // Cut at `end_by`: the system would kill the daemon soon after.
         let _ = timeout_at(end_by.into(), connections.wait()).await;
