Show by a red test how a stopping daemon cuts an answer that is still read

Callers see: a connection closed in the middle of the body, 181,159 of 819,200 bytes (held answer), 185,875 of 196,608 (passed on). Cause, as the test shows it: an answer with 'connection: close' lies in hyper's write buffer, since a slow caller takes only part. 2.5 s after the stop may_close counts the connection as idle (the service has returned) and listen::serve calls graceful_shutdown; hyper closes a connection whose last answer is written into its buffer at once, and its rest is dropped. 'connection: close' alone cuts nothing: the same answers are whole when they are read before that moment, and when a caller asks for the close without a stop. The callers' segments are small (536 bytes), since loopback's send buffer begins at 2.5 MB and hides the fault. Change: tests and fixtures only.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Daemons and scripted backend servers on loopback, with a configuration that a test gives them.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -25,9 +26,10 @@
 use relay::refresh::{Change, ConfigSource, Fetched};
 use relay::registration::Heartbeat;
 use relay::run::{Sockets, run};
+use socket2::SockRef;
 use store::{Commit, MemStore, Row, StoreError, StoreOp, StoreRep, Table};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -38,6 +40,10 @@
 pub const SERVICE: &str = "sacristia";
 /// Longest time for anything that a test waits for.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Bytes of a segment on a narrow path.
+const NARROW_SEGMENT: u32 = 536;
+/// Receive buffer of a slow caller in bytes.
+const SMALL_BUFFER: u32 = 8 * 1024;
 
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +62,8 @@
     Unsigned,
     /// Answers after this many milliseconds.
     After(u64),
+    /// Answers with a body of this many bytes after this many milliseconds.
+    Large(usize, u64),
     /// Never answers.
     Hang,
 }
@@ -145,6 +153,10 @@
                 rep.headers_mut().remove("x-server-signature");
             }
             Act::After(ms) => sleep(Duration::from_millis(ms)).await,
+            Act::Large(bytes, ms) => {
+                *rep.body_mut() = Full::new(large(bytes));
+                sleep(Duration::from_millis(ms)).await;
+            }
             Act::Hang => std::future::pending().await,
         }
         guard.is_answered.set(true);
@@ -152,6 +164,11 @@
     }
 }
 
+/// The body of a large answer; each part differs from its neighbours.
+pub fn large(bytes: usize) -> Bytes {
+    (0..bytes).map(|n| (n % 251) as u8).collect()
+}
+
 struct CancelGuard<'a> {
     backend: &'a Backend,
     is_answered: Cell<bool>,
@@ -395,6 +412,59 @@
     String::from_utf8_lossy(&text).into_owned()
 }
 
+/// A caller's connection with a small receive buffer.
+pub async fn connect_small(addr: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a socket option");
+    socket.connect(addr).await.expect("the daemon listens")
+}
+
+/// The same with small segments, so that the daemon's send buffer is small too; on loopback it begins at 2.5 MB otherwise.
+pub async fn connect_narrow(addr: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    SockRef::from(&socket).set_tcp_mss(NARROW_SEGMENT).expect("a socket option");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a socket option");
+    socket.connect(addr).await.expect("the daemon listens")
+}
+
+/// Reads slowly until the connection closes or `is_done` says that all has come; says how it ended.
+pub async fn read_slowly(
+    stream: &mut TcpStream,
+    per_read: usize,
+    pause: Duration,
+    is_done: impl Fn(&[u8]) -> bool,
+) -> (Vec<u8>, String) {
+    let mut all = Vec::new();
+    let mut buf = vec![0; per_read];
+    let end = loop {
+        sleep(pause).await;
+        match tokio::time::timeout(PATIENCE, stream.read(&mut buf)).await.expect("bytes or an end") {
+            Ok(0) => break "closed".to_owned(),
+            Ok(len) => all.extend_from_slice(&buf[..len]),
+            Err(e) => break e.to_string(),
+        }
+        if is_done(&all) {
+            break "whole".to_owned();
+        }
+    };
+    (all, end)
+}
+
+/// Statuses and bodies of the answers in these bytes, whose heads state lengths; the last body may be cut.
+pub fn answers(mut bytes: &[u8]) -> Vec<(u16, &[u8])> {
+    let mut answers = Vec::new();
+    while let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+        let (head, rest) = bytes.split_at(at + 4);
+        let head = String::from_utf8_lossy(head);
+        let length = head.split_once("content-length: ").and_then(|(_, text)| text.split_once("\r\n"));
+        let length = length.and_then(|(text, _)| text.parse().ok()).unwrap_or(usize::MAX);
+        let (body, rest) = rest.split_at(length.min(rest.len()));
+        answers.push((status(&head), body));
+        bytes = rest;
+    }
+    answers
+}
+
 /// Status of an answer.
 pub fn status(rep: &str) -> u16 {
     rep.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
