Show by a red test how a stopping daemon cuts a pipelined answer

Callers see: the first of two pipelined answers is whole, of the second 110,105 of 819,200 bytes came; the connection is closed. Change: test only.

--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -176,6 +176,20 @@
     });
 }
 
+#[test]
+fn pipelined_answers_of_a_stopping_daemon_are_whole() {
+    on_one_thread(async {
+        let way = Way::HeldFromAfar;
+        let fleet = way.fleet(conf).await;
+        let mut caller = connect_narrow(fleet.daemons[0].callers).await;
+        send(&mut caller, &(get("r1", "1.1", "") + &get("r2", "1.1", ""))).await;
+        eventually(|| fleet.runs() == 2).await;
+        stop(&fleet.daemons[0]).await;
+        sleep(CLOSE_AFTER).await;
+        assert_whole(&mut caller, &[way.bytes(), way.bytes()]).await;
+    });
+}
+
 #[rstest]
 #[case::held(Way::HeldFromAfar)]
 #[case::passed(Way::Passed)]
