Show by a red test how a further request destroys the last answer of a stopping daemon

Callers see: connection reset after 12,143 of 819,200 bytes (held) or 12,162 of 196,608 (passed on). Cause: the answer lies whole in the kernel's send buffer; the daemon reads and discards for 500 ms and closes. What the caller sends after that meets a closed socket, and the reset destroys what it has not read yet. Change: test only.

--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::{
-    Act, Daemon, Fleet, KEY, answers, conf, connect_narrow, eventually, fleet, large, on_one_thread,
-    read_slowly,
+    Act, Daemon, Fleet, KEY, answers, conf, connect_narrow, connect_small, eventually, fleet, large,
+    on_one_thread, read_slowly,
 };
 use conf::{KeyHasher, Snapshot};
 use rstest::rstest;
@@ -190,6 +190,24 @@
     });
 }
 
+#[rstest]
+#[case::held(Way::HeldFromAfar)]
+#[case::passed(Way::Passed)]
+fn a_request_behind_the_last_answer_does_not_destroy_it(#[case] way: Way) {
+    on_one_thread(async {
+        let fleet = way.fleet(conf).await;
+        // The whole answer lies in the daemon's send buffer.
+        let mut caller = connect_small(fleet.daemons[0].callers).await;
+        send(&mut caller, &get("r1", "1.1", "")).await;
+        eventually(|| fleet.runs() == 1).await;
+        stop(&fleet.daemons[0]).await;
+        // Longer than the daemon reads a connection that it has closed.
+        sleep(Duration::from_millis(WORK_MS + 900)).await;
+        send(&mut caller, &get("r2", "1.1", "")).await;
+        assert_whole(&mut caller, &[way.bytes()]).await;
+    });
+}
+
 #[rstest]
 #[case::held(Way::HeldFromAfar)]
 #[case::passed(Way::Passed)]
