Send an answer whole before a stopping daemon closes its connection

Callers saw: a download of a daemon that was being stopped ended in the middle (LOST), 2.5 s and more after the stop signal, in the millisecond in which the answer had been handed to the HTTP library.

Cause: a connection counted as idle as soon as the answer was returned to the library, not when its bytes were sent. Closing it then told the library to end: an answer with 'connection: close' counts as written once it lies in the library's buffer, and we drove the connection without its own shutdown, which is what flushes that buffer. What the socket had not taken was dropped. A slow link or an answer larger than the socket's buffer, and a look at the connection (each 50 ms) in the time that sending takes, are all it needs. 'connection: close' alone loses nothing: that way flushes first.

Change: a connection is closed only when its last answer is sent (Delivery), at least one interval after closing was asked for, so that a request which lies in the socket is read; it is driven to its own end, which flushes; errors end in the same orderly close as all else.

--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -65,6 +65,11 @@
         self.has_unsent.get().then_some((answer, Cut::Unsent))
     }
 
+    /// Whether all answers so far have been written to the socket.
+    pub fn is_sent(&self) -> bool {
+        self.cut().is_none()
+    }
+
     /// Bytes written to the socket since the last answer began, head included.
     pub fn written(&self) -> u64 {
         self.written.get()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod attempts;
 pub mod body;
 pub mod clock;
+mod closing;
 pub mod delivery;
 pub mod directory;
 pub mod entry;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -1,7 +1,6 @@
 //! Serves callers over HTTP/1.1 and closes their connections politely.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -14,13 +13,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::ahead::Ahead;
 use crate::body::Body;
+use crate::closing::{linger, may_close};
 use crate::delivery::{Delivery, Followed, FollowedBody, LastAnswer};
 use crate::node::Node;
 
@@ -29,14 +28,6 @@
 /// Pause after an accept failed, e.g. for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Longest time for which a closed connection is still read, so that unread bytes don't reset it before the caller
-/// has its answer.
-const LINGER: Duration = Duration::from_millis(500);
-/// Interval at which a connection that shall be closed is looked at.
-const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
-/// Bytes read at once from a closed connection.
-const DISCARD_BYTES: usize = 4 * 1024;
-
 /// Accepts callers until `closing` and tracks their connections; `closing` asks for idle connections to be closed.
 pub async fn listen(
     node: Rc<Node>,
@@ -46,9 +37,10 @@
 ) {
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            biased;
             // Dropping the listener refuses callers, who then know that nothing was read.
             () = closing.cancelled() => return,
+            accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -95,14 +87,13 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
-            ended = poll_fn(|cx| conn.poll_without_shutdown(cx)) => {
-                note_cut(&node, &delivery, ended.as_ref().err());
-                if ended.is_err() {
-                    return;
-                }
+            biased;
+            // hyper sends what it holds of the last answer before it ends the connection.
+            ended = &mut conn => {
+                note_cut(&node, &delivery, ended.err().as_ref());
                 break;
             }
-            () = may_close(&closing, &ahead), if !is_closing => {
+            () = may_close(&closing, &ahead, &delivery), if !is_closing => {
                 is_closing = true;
                 if !ahead.has_asked() {
                     // hyper would still wait for the first request.
@@ -139,36 +130,6 @@
     );
 }
 
-/// Waits until the connection shall be closed and no request that was passed on would be lost by it.
-async fn may_close(closing: &CancellationToken, ahead: &Ahead) {
-    closing.cancelled().await;
-    while !ahead.is_idle() {
-        tokio::time::sleep(CLOSE_INTERVAL).await;
-    }
-}
-
-/// Closes a connection and discards what its caller still sends.
-async fn linger(mut stream: Followed<Shown>) {
-    let mut discarded = 0;
-    let work = async {
-        stream.shutdown().await?;
-        let mut buf = [0; DISCARD_BYTES];
-        loop {
-            match stream.read(&mut buf).await? {
-                0 => return std::io::Result::Ok(()),
-                len => discarded += len,
-            }
-        }
-    };
-    match tokio::time::timeout(LINGER, work).await {
-        Ok(Ok(())) | Err(_) => {}
-        Ok(Err(e)) => log::debug!("connection of a caller broke while it was closed: {e}"),
-    }
-    if discarded > 0 {
-        event!(Info, BytesDiscarded, "bytes={discarded}");
-    }
-}
-
 async fn answer(
     node: &Node,
     ahead: &Ahead,
