Read a closed connection until its caller closes it

Cause: the connection was read on for 500 ms only. The system answers bytes for a closed socket with a reset, which destroys what still lies in the send buffer.

Change: the connection is read until its caller closes it, at most 5 s. A stop waits for 500 ms of that after the last byte of an answer, and not at all for a connection that was idle before.

--- a/crates/relay/src/closing.rs
+++ b/crates/relay/src/closing.rs
@@ -1,11 +1,12 @@
 //! Closes callers' connections so that nothing that was accepted is lost.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::event;
 use edge::framing::Shown;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::time::sleep;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::ahead::Ahead;
@@ -13,9 +14,10 @@
 
 /// Interval at which a connection that shall be closed is looked at.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
-/// Longest time for which a closed connection is still read, so that unread bytes don't reset it before the caller
-/// has its answer.
+/// Time after the last byte of an answer for which a stop waits for the caller to close.
 const LINGER: Duration = Duration::from_millis(500);
+/// Longest time for which a connection is read after its end was sent.
+const MAX_LINGER: Duration = Duration::from_secs(5);
 /// Bytes read at once from a closed connection.
 const DISCARD_BYTES: usize = 4 * 1024;
 
@@ -33,21 +35,34 @@
 }
 
 /// Ends a connection and discards what its caller still sends.
-pub async fn linger(mut stream: Followed<Shown>) {
+///
+/// The system resets a connection that is closed with unread bytes, and the caller then loses what it has not read of
+/// its answer. So the connection is read on until the caller closes it; only the first part of that time is waited for.
+pub async fn linger(mut stream: Followed<Shown>, delivery: &Delivery) {
+    if let Err(e) = stream.shutdown().await {
+        log::debug!("connection of a caller broke while it was closed: {e}");
+        return;
+    }
+    let now = Instant::now();
+    let wait_until = delivery.last_written().map_or(now, |at| at + LINGER);
+    let reading = spawn_local(discard(stream, now + MAX_LINGER));
+    if let Ok(Err(e)) = timeout_at(wait_until.into(), reading).await {
+        log::error!("reading a closed connection ended: {e}");
+    }
+}
+
+async fn discard(mut stream: Followed<Shown>, until: Instant) {
     let mut discarded = 0;
-    let work = async {
-        stream.shutdown().await?;
-        let mut buf = [0; DISCARD_BYTES];
-        loop {
-            match stream.read(&mut buf).await? {
-                0 => return std::io::Result::Ok(()),
-                len => discarded += len,
+    let mut buf = [0; DISCARD_BYTES];
+    while let Ok(read) = timeout_at(until.into(), stream.read(&mut buf)).await {
+        match read {
+            Ok(0) => break,
+            Ok(len) => discarded += len,
+            Err(e) => {
+                log::debug!("connection of a caller broke while it was closed: {e}");
+                break;
             }
         }
-    };
-    match tokio::time::timeout(LINGER, work).await {
-        Ok(Ok(())) | Err(_) => {}
-        Ok(Err(e)) => log::debug!("connection of a caller broke while it was closed: {e}"),
     }
     if discarded > 0 {
         event!(Info, BytesDiscarded, "bytes={discarded}");
--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use derive_more::{Debug, Display};
@@ -46,6 +47,8 @@
     has_unsent: Cell<bool>,
     /// Bytes written to the socket since the last answer began.
     written: Cell<u64>,
+    /// When the last of them were written.
+    written_at: Cell<Option<Instant>>,
 }
 
 impl Delivery {
@@ -70,6 +73,11 @@
         self.cut().is_none()
     }
 
+    /// When the last bytes were written to the socket; none if there were no answers.
+    pub fn last_written(&self) -> Option<Instant> {
+        self.written_at.get()
+    }
+
     /// Bytes written to the socket since the last answer began, head included.
     pub fn written(&self) -> u64 {
         self.written.get()
@@ -79,6 +87,7 @@
         self.has_unsent.set(true);
         if let Poll::Ready(Ok(len)) = polled {
             self.written.set(self.written.get() + *len as u64);
+            self.written_at.set(Some(Instant::now()));
         }
     }
 }
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -103,7 +103,7 @@
             }
         }
     }
-    linger(conn.into_parts().io.into_inner()).await;
+    linger(conn.into_parts().io.into_inner(), &delivery).await;
 }
 
 /// Id of a request as logs show it.
