Show by a red test that a body without length is held without bound

What is seen: the daemon takes 16 to 25 MB of one answer within 1.15 s (deadline 1 s) from a server that sends about 20 MB/s without end, with no length or in chunks, beside it or beside another daemon; the instance has 160 MB. Cause: bodies of unknown length count as small, and hold() gets usize::MAX as its limit (sent.rs, attempts.rs). Change: test only.

--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::endless::{Endless, EndlessServer, Got, read, send};
-use common::{Act, Backend, Fleet, conf, fleet_of, on_one_thread};
+use common::{Act, Backend, Fleet, conf, connect_narrow, fleet_of, on_one_thread};
 use rstest::rstest;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -115,3 +115,26 @@
         assert!(server.sent.get() < MAX_TAKEN, "the daemon took {} bytes", server.sent.get());
     });
 }
+
+#[rstest]
+#[case::head(Endless::Head, Place::Own)]
+#[case::garbage(Endless::Garbage, Place::Own)]
+#[case::body(Endless::Body, Place::Own)]
+#[case::chunks(Endless::Chunks, Place::Own)]
+#[case::chunk_size(Endless::ChunkSize, Place::Own)]
+#[case::trailers(Endless::Trailers, Place::Own)]
+#[case::huge(Endless::Huge, Place::Own)]
+#[case::body_from_afar(Endless::Body, Place::Afar)]
+#[case::chunks_from_afar(Endless::Chunks, Place::Afar)]
+#[case::huge_from_afar(Endless::Huge, Place::Afar)]
+fn an_endless_answer_takes_a_bounded_part_of_the_memory(#[case] kind: Endless, #[case] place: Place) {
+    on_one_thread(async {
+        let (fleet, server) = trouble(kind, place, u32::MAX).await;
+        // A caller that does not read, so that bytes can't be passed on.
+        let mut caller = connect_narrow(fleet.daemons[0].callers).await;
+        send(&mut caller, ONCE, "r1", DEADLINE).await;
+        sleep(DEADLINE + SLACK).await;
+        assert_eq!(server.asked.get(), 1);
+        assert!(server.sent.get() < MAX_TAKEN, "the daemon took {} bytes", server.sent.get());
+    });
+}
