Show by a red test that a repeatable request waits for an endless body

Callers see: 502 after 1.15 s (deadline 1 s), though another server could have answered. Cause: a body without length, or in chunks, is held until the deadline, so that no time is left for another attempt. Change: test only.

--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -19,6 +19,8 @@
 /// were seen to take up to 3 MB of an answer that is passed on.
 const MAX_TAKEN: usize = 4 * 1024 * 1024;
 
+/// Path of requests that may run more than once.
+const REPEATABLE: &str = "/stock/a";
 /// Path of requests that may run only once.
 const ONCE: &str = "/order/a";
 
@@ -138,3 +140,27 @@
         assert!(server.sent.get() < MAX_TAKEN, "the daemon took {} bytes", server.sent.get());
     });
 }
+
+#[rstest]
+#[case::head(Endless::Head)]
+#[case::garbage(Endless::Garbage)]
+#[case::body(Endless::Body)]
+#[case::chunks(Endless::Chunks)]
+#[case::chunk_size(Endless::ChunkSize)]
+#[case::trailers(Endless::Trailers)]
+#[case::interim(Endless::Interim)]
+fn a_repeatable_request_with_an_endless_answer_runs_at_another_server(#[case] kind: Endless) {
+    on_one_thread(async {
+        let server = EndlessServer::start(kind, u32::MAX).await;
+        let sound = Backend::start(&[Act::Answer]).await;
+        let fleet = fleet_of(vec![Backend::at(server.addr), sound], conf).await;
+        for n in 0..10 {
+            let got = ask(&mut connect(&fleet).await, REPEATABLE, &format!("r{n}")).await;
+            assert_eq!((got.status, got.body, got.is_complete), (200, 5, true), "{got:?}");
+            if server.asked.get() > 0 {
+                break;
+            }
+        }
+        assert!(server.asked.get() > 0, "no request reached the server in trouble");
+    });
+}
