Bound what a server's or a daemon's answer may take in memory and in time

Callers saw: a server whose body did not end took 16 to 25 MB of the daemon beside it for one answer until the deadline (20 MB/s; an instance has 160 MB), a repeatable request got 502 at its deadline though another server could have answered, and an answer that stated 10 TB was passed on without end: 26 to 36 MB in 1.7 s at a deadline of 1 s, with the server's slot taken for as long as the caller read. A daemon that is killed for its memory loses all that it has accepted.

Cause: bodies without a stated length were held without limit, and bodies that are passed on had no deadline.

Change: at most 1 MiB is held; more without a stated length is no answer: the connection is closed, the slot is free and the request may be repeated at once. A body that is passed on ends with the request's deadline. Limits for configurations and bodies between daemons too.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -18,7 +18,7 @@
 use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
-use crate::body::{Body, hold};
+use crate::body::{Body, MAX_HELD_BYTES, hold};
 use crate::entry::{Admitted, MIN_RETRY_AFTER, Refused};
 use crate::handoff::{self, ORDER, Order, REPORT, Reason, Repetition, Report, VERDICT, Verdict};
 use crate::links::LinkError;
@@ -32,8 +32,6 @@
 const SERVER_WAIT: Duration = Duration::from_millis(150);
 /// Time past the deadline in which an answer still counts.
 const DEADLINE_SLACK: Duration = Duration::from_millis(250);
-/// Answers up to this size are held until they are whole.
-const HOLD_ANSWER_BYTES: u64 = 1024 * 1024;
 /// Bytes of the heads of a request and its answer.
 const HEAD_BYTES: u64 = 1_024;
 /// Weight of a new answer in the mean size.
@@ -364,12 +362,17 @@
             return Outcome::Verdict(verdict);
         }
         parts.version = hyper::Version::HTTP_11;
-        if body.size_hint().upper().is_some_and(|bytes| bytes > HOLD_ANSWER_BYTES) {
-            let rep = Response::from_parts(parts, Body::Passing(body, None));
+        if body.size_hint().upper().is_some_and(|bytes| bytes > MAX_HELD_BYTES as u64) {
+            let until = self.admitted.deadline + DEADLINE_SLACK;
+            let rep = Response::from_parts(parts, Body::passing(body, None, until));
             return Outcome::Answer(Box::new(rep));
         }
-        let Ok(bytes) = hold(body, usize::MAX).await else {
-            return Outcome::Verdict(Verdict::Broken);
+        let bytes = match hold(body, MAX_HELD_BYTES).await {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::debug!("answer of {from} to {}: {e}", self.id);
+                return Outcome::Verdict(Verdict::Broken);
+            }
         };
         self.note_size(bytes.len());
         parts.headers.remove(CONTENT_LENGTH);
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,29 +1,44 @@
 //! Bodies of answers: whole in memory, or passed on while they come.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use tokio::time::{Sleep, sleep_until};
 
 use crate::slot::Run;
 
 /// Bodies up to this size are held until they are whole, so that a spoiled one can be fetched elsewhere.
 pub const HOLD_BYTES: u64 = 64 * 1024;
+/// Largest body that is held at all. One without a stated length is never passed on, since only its end shows whether
+/// it is an answer.
+pub const MAX_HELD_BYTES: usize = 1024 * 1024;
 
 /// Why a body that is passed on ended early.
-pub type BodyError = hyper::Error;
+#[derive(Debug, Display, Error)]
+pub enum BodyError {
+    /// The sender broke off.
+    #[display("the body broke off: {source}; ask again")]
+    Broken {
+        /// What the connection said.
+        source: hyper::Error,
+    },
+    /// It had not ended when it had to.
+    #[display("the body did not end by the deadline; ask for less or with a later deadline")]
+    Overdue,
+}
 
 /// Body of an answer.
 #[derive(Debug)]
 pub enum Body {
     /// All bytes are here.
     Whole(Full<Bytes>),
-    /// Bytes come from elsewhere; the run of the request ends with them.
-    Passing(Incoming, Option<Run>),
+    /// Bytes come from elsewhere.
+    Passing(Passing),
 }
 
 impl Body {
@@ -31,6 +46,45 @@
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
         Self::Whole(Full::new(bytes.into()))
     }
+
+    /// A body that is passed on until `until`; the run of the request ends with it.
+    pub(crate) fn passing(incoming: Incoming, run: Option<Run>, until: Instant) -> Self {
+        Self::Passing(Passing { incoming, run, until: Box::pin(sleep_until(until.into())) })
+    }
+}
+
+/// A body whose bytes come from elsewhere.
+#[derive(Debug)]
+pub struct Passing {
+    incoming: Incoming,
+    /// The run at the server, until the body has ended.
+    run: Option<Run>,
+    /// When it has to have ended.
+    until: Pin<Box<Sleep>>,
+}
+
+impl Passing {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.until.as_mut().poll(cx).is_ready() {
+            self.end(false);
+            return Poll::Ready(Some(Err(BodyError::Overdue)));
+        }
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        match &frame {
+            // The last bytes are the end: whoever knows the length does not ask again.
+            Some(Ok(_)) if self.incoming.is_end_stream() => self.end(true),
+            None => self.end(true),
+            Some(Err(_)) => self.end(false),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(|source| BodyError::Broken { source })))
+    }
+
+    fn end(&mut self, is_whole: bool) {
+        if let Some(run) = self.run.take() {
+            run.finish(is_whole, Instant::now());
+        }
+    }
 }
 
 impl HttpBody for Body {
@@ -43,40 +97,25 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Body::Passing(incoming, run) => {
-                let polled = Pin::new(incoming).poll_frame(cx);
-                match &polled {
-                    Poll::Ready(None) => end(run, true),
-                    Poll::Ready(Some(Err(_))) => end(run, false),
-                    _ => {}
-                }
-                polled
-            }
+            Body::Passing(passing) => passing.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Body::Whole(full) => full.is_end_stream(),
-            // The end is polled for, so that the run ends with it.
-            Body::Passing(incoming, run) => run.is_none() && incoming.is_end_stream(),
+            Body::Passing(passing) => passing.incoming.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Whole(full) => full.size_hint(),
-            Body::Passing(incoming, _) => incoming.size_hint(),
+            Body::Passing(passing) => passing.incoming.size_hint(),
         }
     }
 }
 
-fn end(run: &mut Option<Run>, is_whole: bool) {
-    if let Some(run) = run.take() {
-        run.finish(is_whole, Instant::now());
-    }
-}
-
 /// Why a body could not be held.
 #[derive(Debug, Display, Error)]
 pub enum HoldError {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -37,6 +37,8 @@
 const CONNECTION_WINDOW: u32 = 1024 * 1024;
 /// Requests that may be under way on one connection.
 const MAX_STREAMS: u32 = 1_000;
+/// Largest configuration of another daemon.
+const MAX_CONFIG_BYTES: usize = 32 * 1024 * 1024;
 /// Pause after an accept failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -159,8 +161,13 @@
     let rep = node.links.send(from, req).await.ok()?;
     let (mut parts, body) = rep.into_parts();
     let proof_age: Duration = handoff::take(&mut parts.headers, &PROOF_AGE)?;
-    let raw = hold(body, usize::MAX).await.ok()?;
-    Some((raw, proof_age))
+    match hold(body, MAX_CONFIG_BYTES).await {
+        Ok(raw) => Some((raw, proof_age)),
+        Err(e) => {
+            log::warn!("configuration of {from}: {e}");
+            None
+        }
+    }
 }
 
 fn config(node: &Node) -> Response<Body> {
@@ -193,7 +200,7 @@
     let (mut parts, body) = req.into_parts();
     let order: Option<Order> = handoff::take(&mut parts.headers, &ORDER);
     let order = order.ok_or(Verdict::declined(Reason::OtherService))?;
-    let limit = node.conf().map_or(usize::MAX, |c| c.limits.body_bytes);
+    let limit = node.conf().map(|c| c.limits).unwrap_or_default().body_bytes;
     let body = hold(body, limit).await.map_err(|_broken| Verdict::declined(Reason::Unreachable))?;
     restore_host(&mut parts);
     node.exit.run(&order, Request::from_parts(parts, body)).await
--- a/crates/relay/src/sent.rs
+++ b/crates/relay/src/sent.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::{sleep_until, timeout_at};
 
-use crate::body::{Body, HOLD_BYTES, hold};
+use crate::body::{Body, HOLD_BYTES, MAX_HELD_BYTES, hold};
 use crate::handoff::{Order, Reason, Repetition, Verdict};
 use crate::names::Names;
 use crate::pool::Conn;
@@ -103,19 +103,21 @@
         run.keep_alive = keep_alive(&parts.headers);
         edge::hygiene::clean_answer(&mut parts.headers);
         parts.headers.remove(&exit.names.server_load);
+        let until = deadline + DEADLINE_SLACK;
         let is_small = body.size_hint().upper().is_none_or(|bytes| bytes <= HOLD_BYTES);
         if !is_small {
             run.conn = Some(conn);
-            return Ok(Response::from_parts(parts, Body::Passing(body, Some(run))));
+            return Ok(Response::from_parts(parts, Body::passing(body, Some(run), until)));
         }
-        let limit = usize::MAX;
-        let held = timeout_at((deadline + DEADLINE_SLACK).into(), hold(body, limit)).await;
+        let held = timeout_at(until.into(), hold(body, MAX_HELD_BYTES)).await;
         let now = Instant::now();
         let took = now.saturating_duration_since(asked);
-        let Ok(Ok(bytes)) = held else {
+        let held = held.map_err(|late| late.to_string()).and_then(|held| held.map_err(|e| e.to_string()));
+        let bytes = held.map_err(|problem| {
+            log::debug!("answer of {}: {problem}", run.server);
             exit.observe(Shown::failure(took, expected), now);
-            return Err(Verdict::Broken);
-        };
+            Verdict::Broken
+        })?;
         if parts.status.is_server_error() {
             exit.observe(Shown::failure(took, expected), now);
             exit.pool.put(conn, run.keep_alive, now);
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -428,3 +428,20 @@
         eventually(|| new.node.exit.has_server() && !new.node.exit.report(Instant::now()).takes_work).await;
     });
 }
+
+#[test]
+fn a_slot_is_free_once_its_large_answer_is_whole() {
+    on_one_thread(async {
+        let bytes = 192 * 1024;
+        let fleet = fleet(&[&[Act::Large(bytes, 0)]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(request("GET", "/open/a", "r1", "").as_bytes()).await.expect("the daemon reads");
+        let is_whole = |rep: &[u8]| common::answers(rep).first().is_some_and(|(_, body)| body.len() == bytes);
+        common::read_slowly(&mut stream, bytes, Duration::ZERO, is_whole).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        // The connection is still open, and has carried no further request.
+        assert_eq!(daemon.node.exit.load(), 0);
+        drop(stream);
+    });
+}
