Show that a late answer to another request is taken as a proof that this one has not run

What callers see: 503 with x-pomelo-run: no for an order that ran, at two servers. No change of the product.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -52,6 +52,8 @@
     Break,
     /// Answers with the id of another request.
     Cross,
+    /// Runs the request, but what comes first is a late answer to another one, which was not run.
+    CrossShed,
     /// Answers without its signature.
     Unsigned,
     /// Answers after this many milliseconds.
@@ -138,6 +140,11 @@
                 guard.is_answered.set(true);
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
+            Act::CrossShed => {
+                *rep.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                rep.headers_mut().insert("x-not-run", "1".parse().expect("a header value"));
+                rep.headers_mut().insert("x-request-id", "another".parse().expect("a header value"));
+            }
             Act::Cross => {
                 rep.headers_mut().insert("x-request-id", "another".parse().expect("a header value"));
             }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -117,6 +117,16 @@
     });
 }
 
+#[test]
+fn a_late_answer_to_another_request_does_not_say_that_this_one_has_not_run() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::CrossShed], &[Act::CrossShed]], conf).await;
+        let rep = fleet.daemons[0].post("/order/a", "r1").await;
+        assert_eq!(fleet.runs(), 1, "{rep}");
+        assert_eq!(status(&rep), 502, "{rep}");
+    });
+}
+
 #[test]
 fn a_request_that_every_server_sheds_is_refused_as_not_run() {
     on_one_thread(async {
