Show that a caller that leaves with a pipelined request is not noticed

What callers see: nothing; servers go on with the work of callers that have left, until the route's time is over. Cause: hyper doesn't read on while bytes of a further request lie in its buffer, so it sees neither the end nor the reset of the connection. pipelined_work_ends_when_the_caller_leaves is green because the route's 5 s end the work: it takes 5.35 s. The older test stays as it is. No change of the product.

--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -221,6 +221,23 @@
     });
 }
 
+#[test]
+fn pipelined_work_ends_soon_after_the_caller_leaves() {
+    // Far below the time that the route allows, which would end the work too.
+    const SOON: Duration = Duration::from_millis(500);
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Hang]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two: String = (1..3).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 2).await;
+        drop(stream);
+        tokio::time::sleep(SOON).await;
+        assert_eq!(daemon.node.exit.load(), 0);
+    });
+}
+
 fn without_keys(hasher: &KeyHasher) -> Snapshot {
     snapshot(hasher, 2, &[], 1_000_000.0)
 }
