Show that others give up a sound server long before its daemon takes no more work

What callers see: 503 for a service whose only free server stands beside a daemon that was told to stop, from the first moment; fewer servers to all others while instances restart. Cause: node::status says "takes no work" as soon as a stop is asked for, while exit::stop declines from 2.5 s on only; the report on answers says the opposite of the datagrams, so daemons that get an answer use it for another second. If a stopping daemon shall be left at once instead, its exit has to end as early, and this test is to be replaced by one that bounds the time without the server. No change of the product.

--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -380,6 +380,26 @@
     });
 }
 
+#[test]
+fn a_sound_server_is_used_by_others_while_its_daemon_still_takes_work() {
+    // The daemon takes work for 2.5 s after it was told to stop.
+    const WHILE_IT_TAKES_WORK: Duration = Duration::from_secs(2);
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        let (entry, stopping) = (&fleet.daemons[0], &fleet.daemons[1]);
+        entry.register(2, true);
+        stopping.stop.cancel();
+        let until = Instant::now() + WHILE_IT_TAKES_WORK;
+        let mut refused = 0;
+        while Instant::now() < until {
+            let rep = entry.post("/order/a", "r1").await;
+            refused += usize::from(status(&rep) != 200);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(refused, 0);
+    });
+}
+
 #[test]
 fn a_kept_connection_is_served_shortly_after_the_stop_signal() {
     on_one_thread(async {
