--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -117,6 +117,16 @@
     });
 }
 
+#[test]
+fn a_late_answer_to_another_request_does_not_say_that_this_one_has_not_run() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::CrossShed], &[Act::CrossShed]], conf).await;
+        let rep = fleet.daemons[0].post("/order/a", "r1").await;
+        assert_eq!(fleet.runs(), 1, "{rep}");
+        assert_eq!(status(&rep), 502, "{rep}");
+    });
+}
+
 #[test]
 fn a_request_that_every_server_sheds_is_refused_as_not_run() {
     on_one_thread(async {
@@ -211,6 +221,23 @@
     });
 }
 
+#[test]
+fn pipelined_work_ends_soon_after_the_caller_leaves() {
+    // Far below the time that the route allows, which would end the work too.
+    const SOON: Duration = Duration::from_millis(500);
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Hang]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let two: String = (1..3).map(|n| request("GET", "/stock/a", &format!("r{n}"), "")).collect();
+        let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+        stream.write_all(two.as_bytes()).await.expect("the daemon reads");
+        eventually(|| daemon.runs() == 2).await;
+        drop(stream);
+        tokio::time::sleep(SOON).await;
+        assert_eq!(daemon.node.exit.load(), 0);
+    });
+}
+
 fn without_keys(hasher: &KeyHasher) -> Snapshot {
     snapshot(hasher, 2, &[], 1_000_000.0)
 }
@@ -353,6 +380,26 @@
     });
 }
 
+#[test]
+fn a_sound_server_is_used_by_others_while_its_daemon_still_takes_work() {
+    // The daemon takes work for 2.5 s after it was told to stop.
+    const WHILE_IT_TAKES_WORK: Duration = Duration::from_secs(2);
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        let (entry, stopping) = (&fleet.daemons[0], &fleet.daemons[1]);
+        entry.register(2, true);
+        stopping.stop.cancel();
+        let until = Instant::now() + WHILE_IT_TAKES_WORK;
+        let mut refused = 0;
+        while Instant::now() < until {
+            let rep = entry.post("/order/a", "r1").await;
+            refused += usize::from(status(&rep) != 200);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(refused, 0);
+    });
+}
+
 #[test]
 fn a_kept_connection_is_served_shortly_after_the_stop_signal() {
     on_one_thread(async {
