Compare an answer's id before believing that the request has not run

Callers saw (test): an order ran at one server, was handed to a second and ran there too, and its caller got 503 'not run'. Cause: 'not run' and 421 were believed before the answer's request id was compared; a late answer to an earlier request on the connection was taken for the verdict on this one. Change: an answer with another id says nothing about the request; what became of it is unknown. One without an id may still say that it has not run.

--- a/crates/relay/src/sent.rs
+++ b/crates/relay/src/sent.rs
@@ -45,15 +45,20 @@
         let id = req.headers().get(&exit.names.request_id).cloned();
         set_headers(req.headers_mut(), &exit.names, self.order, &self.run.server, self.deadline);
         let rep = self.head(req.map(Full::new)).await?;
+        let named = rep.headers().get(&exit.names.request_id);
+        if named.is_some() && named != id.as_ref() {
+            // An answer to another request says nothing about this one, not even that it has not run.
+            return Err(self.broken());
+        }
         if rep.headers().contains_key(&exit.names.not_run) || rep.status() == StatusCode::MISDIRECTED_REQUEST
         {
             exit.note_arrival(true);
             return Err(Verdict::declined(Reason::Shed));
         }
         exit.note_arrival(false);
-        let is_own = rep.headers().get(&exit.names.request_id) == id.as_ref();
+        let is_named = rep.headers().get(&exit.names.request_id) == id.as_ref();
         let is_signed = rep.headers().contains_key(&exit.names.signature);
-        if !is_own || (rep.status().is_success() && !is_signed) {
+        if !is_named || (rep.status().is_success() && !is_signed) {
             return Err(self.broken());
         }
         self.body(rep).await
