Let requests that wait for the same connection share its failure

Callers saw (test): 5 requests to a daemon without power took 3.01 to 3.07 s, one attempt of 600 ms after the other: the tenth would hang for 6 s before another daemon is tried. Cause: each that waited for the lock of the connection began an attempt of its own when the one before had failed. Change: one that has waited during a failed attempt takes its result.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -59,8 +59,16 @@
 /// Connections to other daemons.
 #[derive(Debug, Default)]
 pub struct Links {
+    by_addr: RefCell<HashMap<DaemonId, Rc<Mutex<Link>>>>,
+}
+
+/// The connection to one daemon.
+#[derive(Debug, Default)]
+struct Link {
     #[debug(skip)]
-    by_addr: RefCell<HashMap<DaemonId, Rc<Mutex<Option<Sender>>>>>,
+    sender: Option<Sender>,
+    /// When the last attempt to open one failed.
+    failed_at: Option<Instant>,
 }
 
 impl Links {
@@ -84,18 +92,25 @@
     }
 
     async fn sender(&self, to: DaemonId) -> Result<Sender, LinkError> {
+        let asked = Instant::now();
         let cell = Rc::clone(self.by_addr.borrow_mut().entry(to).or_default());
-        let mut known = cell.lock().await;
-        if let Some(sender) = known.as_ref().filter(|s| !s.is_closed()) {
+        let mut link = cell.lock().await;
+        if let Some(sender) = link.sender.as_ref().filter(|s| !s.is_closed()) {
             return Ok(sender.clone());
         }
-        *known = None;
+        link.sender = None;
+        if link.failed_at.is_some_and(|at| asked <= at) {
+            // The attempt that was under way has failed; another would take as long.
+            return Err(LinkError::NotSent);
+        }
         let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(to)).await;
-        let sender = opened.map_err(|_late| LinkError::NotSent)?.map_err(|e| {
+        let opened = opened.unwrap_or_else(|_late| Err(std::io::ErrorKind::TimedOut.into()));
+        let sender = opened.map_err(|e| {
             log::debug!("no connection to daemon {to}: {e}");
+            link.failed_at = Some(Instant::now());
             LinkError::NotSent
         })?;
-        *known = Some(sender.clone());
+        link.sender = Some(sender.clone());
         Ok(sender)
     }
 }
