End a daemon only when its answers to other daemons have been sent

Cause, the same class as the cut answers of callers: a run counted as done once its last byte lay in HTTP/2's buffers, and the process ended without a look at them. Change: at the end of its time for hand-offs a daemon asks the connections of other daemons to close (GOAWAY, after the last stream) and waits for them as for its callers, until the end of the grace time at most.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, hold};
 use crate::exec::LocalExec;
@@ -134,13 +137,24 @@
     Ok(sender)
 }
 
-/// Accepts connections of other daemons and runs what they hand off.
-pub async fn serve(node: Rc<Node>, listener: TcpListener) {
+/// Accepts connections of other daemons until `closing` and runs what they hand off; tracks the connections, each of
+/// which ends once its last answer is sent.
+pub async fn serve(
+    node: Rc<Node>,
+    listener: TcpListener,
+    connections: TaskTracker,
+    closing: CancellationToken,
+) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            () = closing.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 socket::prepare(&stream);
-                tokio::task::spawn_local(serve_one(Rc::clone(&node), stream));
+                connections.spawn_local(serve_one(Rc::clone(&node), stream, closing.clone()));
             }
             Err(e) => {
                 log::warn!("connection of another daemon not accepted: {e}");
@@ -150,7 +164,7 @@
     }
 }
 
-async fn serve_one(node: Rc<Node>, stream: TcpStream) {
+async fn serve_one(node: Rc<Node>, stream: TcpStream, closing: CancellationToken) {
     let service = service_fn(move |req| {
         let node = Rc::clone(&node);
         async move { Ok::<_, Infallible>(answer(node, req).await) }
@@ -164,7 +178,15 @@
         .max_concurrent_streams(MAX_STREAMS)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
-    if let Err(e) = builder.serve_connection(TokioIo::new(stream), service).await {
+    let mut conn = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = closing.cancelled() => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(e) = ended {
         log::debug!("connection of a daemon ended: {e}");
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -40,6 +40,36 @@
     pub datagrams: UdpSocket,
 }
 
+/// Connections that have to end before the daemon does.
+///
+/// An answer has left the daemon once its connection has ended, not when its server has finished it.
+#[derive(Debug, Default)]
+struct Connections {
+    /// Of callers.
+    callers: TaskTracker,
+    /// Of daemons that hand requests off to this one.
+    daemons: TaskTracker,
+}
+
+impl Connections {
+    /// Waits until all have ended and nothing runs; they have been asked to end.
+    async fn ended(&self, node: &Node) {
+        self.callers.close();
+        self.daemons.close();
+        self.callers.wait().await;
+        while node.exit.load() > 0 {
+            sleep(STOP_INTERVAL).await;
+        }
+        self.daemons.wait().await;
+    }
+
+    /// What is still open or under way, for the log.
+    fn left(&self, node: &Node) -> String {
+        let (callers, open, daemons) = (node.callers(), self.callers.len(), self.daemons.len());
+        format!("callers={callers} connections={open} links={daemons} at_server={}", node.exit.load())
+    }
+}
+
 /// Runs a daemon until it was asked to stop and all accepted work has ended.
 pub async fn run(
     node: Rc<Node>,
@@ -52,9 +82,10 @@
     let gossip = Rc::new(Gossip::new(sockets.datagrams));
     node.gossip.replace(Some(Rc::clone(&gossip)));
     node.table.replace(Some(Rc::clone(&table)));
-    spawn_local(links::serve(Rc::clone(&node), sockets.handoffs));
-    let connections = TaskTracker::new();
-    spawn_local(listen::listen(Rc::clone(&node), sockets.callers, connections.clone(), closing.clone()));
+    let connections = Connections::default();
+    let (callers, daemons) = (connections.callers.clone(), connections.daemons.clone());
+    spawn_local(links::serve(Rc::clone(&node), sockets.handoffs, daemons, closing.clone()));
+    spawn_local(listen::listen(Rc::clone(&node), sockets.callers, callers, closing.clone()));
     spawn_local(gossip::receive(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_states(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::deposit_tokens(Rc::clone(&node), Rc::clone(&gossip)));
@@ -67,8 +98,7 @@
     if !node.exit.has_server() {
         leave(&node, &gossip, &*table).await;
     }
-    let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
-    event!(Info, DaemonStopped, "callers={callers} connections={open} at_server={at_server}");
+    event!(Info, DaemonStopped, "{}", connections.left(&node));
 }
 
 /// Spreads changes of the server's state at once.
@@ -81,31 +111,22 @@
     }
 }
 
-async fn end(node: &Rc<Node>, gossip: &Gossip, connections: &TaskTracker, closing: &CancellationToken) {
+async fn end(node: &Rc<Node>, gossip: &Gossip, connections: &Connections, closing: &CancellationToken) {
     let grace = node.bounds.grace.saturating_sub(GRACE_MARGIN);
     let end_by = Instant::now() + grace;
     let answer_by = Instant::now() + grace.saturating_sub(ANSWER_MARGIN);
     let linger_until = Instant::now() + LINGER;
-    let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
-    event!(Info, DaemonStopping, "callers={callers} connections={open} at_server={at_server}");
+    event!(Info, DaemonStopping, "{}", connections.left(node));
     node.stop();
     gossip::announce(node, gossip);
     sleep_until(linger_until.into()).await;
     node.exit.stop();
     closing.cancel();
-    connections.close();
-    let idle = async {
-        connections.wait().await;
-        while node.exit.load() > 0 {
-            sleep(STOP_INTERVAL).await;
-        }
-    };
-    if timeout_at(answer_by.into(), idle).await.is_err() {
-        let (callers, open, at_server) = (node.callers(), connections.len(), node.exit.load());
-        event!(Warn, GraceExceeded, "callers={callers} connections={open} at_server={at_server}");
+    if timeout_at(answer_by.into(), connections.ended(node)).await.is_err() {
+        event!(Warn, GraceExceeded, "{}", connections.left(node));
         node.ending.cancel();
         // Cut at `end_by`: the system would kill the daemon soon after.
-        let _ = timeout_at(end_by.into(), connections.wait()).await;
+        let _ = timeout_at(end_by.into(), connections.ended(node)).await;
     }
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -544,15 +544,28 @@
     snapshot(hasher, 1, &[KEY], 1_000_000.0)
 }
 
+/// The same with routes whose requests may take longer than a daemon's grace time.
+pub fn patient_conf(hasher: &KeyHasher) -> Snapshot {
+    let mut pieces = pieces(hasher, &[KEY], 1_000_000.0);
+    for route in &mut pieces.routes {
+        route.timeout = Duration::from_secs(20);
+    }
+    pieces.into_snapshot(1).expect("the test's configuration is valid")
+}
+
 /// A configuration with these keys and this rate.
 pub fn snapshot(hasher: &KeyHasher, version: Version, keys: &[&str], rate: f64) -> Snapshot {
+    pieces(hasher, keys, rate).into_snapshot(version).expect("the test's configuration is valid")
+}
+
+fn pieces(hasher: &KeyHasher, keys: &[&str], rate: f64) -> Pieces {
     let key = |secret: &&str| Key {
         name: (*secret).into(),
         hash: hasher.hash(secret.as_bytes()),
         customer: "parish".into(),
         expires: None,
     };
-    let pieces = Pieces {
+    Pieces {
         services: vec![Service { name: SERVICE.into(), floor: 0.0, cross_region: true, queue: 100 }],
         customers: vec![Customer { name: "parish".into(), rate, burst: rate, rank: None }],
         keys: keys.iter().map(key).collect(),
@@ -562,8 +575,7 @@
             route("open", Repeat::Always, true),
         ],
         limits: CallerLimits::default(),
-    };
-    pieces.into_snapshot(version).expect("the test's configuration is valid")
+    }
 }
 
 fn route(name: &str, repeatable: Repeat, open: bool) -> Route {
