Free the server at a body's deadline whoever reads, and blame it only for its own delay

A caller that did not read at all kept the server's slot and its connection beyond the deadline, since the clock was looked at only when the body was asked for; and a caller that read slowly made a sound server look failed, since the clock was looked at before the bytes that were there. Change: the body's source is cut off by a task of its own; it counts as the server's failure only while the reader waits for it.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,14 +1,17 @@
 //! Bodies of answers: whole in memory, or passed on while they come.
 
+use std::cell::RefCell;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use tokio::time::{Sleep, sleep_until};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::sleep_until;
 
 use crate::slot::Run;
 
@@ -49,30 +52,58 @@
 
     /// A body that is passed on until `until`; the run of the request ends with it.
     pub(crate) fn passing(incoming: Incoming, run: Option<Run>, until: Instant) -> Self {
-        Self::Passing(Passing { incoming, run, until: Box::pin(sleep_until(until.into())) })
+        Self::Passing(Passing::new(incoming, run, until))
     }
 }
 
 /// A body whose bytes come from elsewhere.
 #[derive(Debug)]
 pub struct Passing {
-    incoming: Incoming,
+    source: Rc<RefCell<Source>>,
+    /// Cuts the source off, also while nobody asks for the body.
+    cut_off: AbortHandle,
+}
+
+/// Where a body comes from.
+#[derive(Debug)]
+struct Source {
+    /// None once it was cut off.
+    incoming: Option<Incoming>,
     /// The run at the server, until the body has ended.
     run: Option<Run>,
-    /// When it has to have ended.
-    until: Pin<Box<Sleep>>,
+    /// Set while the reader waits for the sender.
+    reader: Option<Waker>,
 }
 
 impl Passing {
+    fn new(incoming: Incoming, run: Option<Run>, until: Instant) -> Self {
+        let source = Rc::new(RefCell::new(Source { incoming: Some(incoming), run, reader: None }));
+        let late = Rc::clone(&source);
+        let cut_off = spawn_local(async move {
+            sleep_until(until.into()).await;
+            late.borrow_mut().cut_off();
+        });
+        Self { source, cut_off: cut_off.abort_handle() }
+    }
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        self.cut_off.abort();
+    }
+}
+
+impl Source {
     fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.until.as_mut().poll(cx).is_ready() {
-            self.end(false);
+        let Some(incoming) = &mut self.incoming else {
             return Poll::Ready(Some(Err(BodyError::Overdue)));
-        }
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        };
+        self.reader = Some(cx.waker().clone());
+        let frame = ready!(Pin::new(&mut *incoming).poll_frame(cx));
+        self.reader = None;
         match &frame {
             // The last bytes are the end: whoever knows the length does not ask again.
-            Some(Ok(_)) if self.incoming.is_end_stream() => self.end(true),
+            Some(Ok(_)) if incoming.is_end_stream() => self.end(true),
             None => self.end(true),
             Some(Err(_)) => self.end(false),
             Some(Ok(_)) => {}
@@ -80,6 +111,18 @@
         Poll::Ready(frame.map(|frame| frame.map_err(|source| BodyError::Broken { source })))
     }
 
+    /// Ends the run; it is the server's failure only if the reader waits for it.
+    fn cut_off(&mut self) {
+        self.incoming = None;
+        match self.reader.take() {
+            Some(reader) => {
+                self.end(false);
+                reader.wake();
+            }
+            None => self.run = None,
+        }
+    }
+
     fn end(&mut self, is_whole: bool) {
         if let Some(run) = self.run.take() {
             run.finish(is_whole, Instant::now());
@@ -97,21 +140,25 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Body::Passing(passing) => passing.poll_frame(cx),
+            Body::Passing(passing) => passing.source.borrow_mut().poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Body::Whole(full) => full.is_end_stream(),
-            Body::Passing(passing) => passing.incoming.is_end_stream(),
+            Body::Passing(passing) => {
+                passing.source.borrow().incoming.as_ref().is_some_and(Incoming::is_end_stream)
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Whole(full) => full.size_hint(),
-            Body::Passing(passing) => passing.incoming.size_hint(),
+            Body::Passing(passing) => {
+                passing.source.borrow().incoming.as_ref().map(Incoming::size_hint).unwrap_or_default()
+            }
         }
     }
 }
--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -138,6 +138,7 @@
         sleep(DEADLINE + SLACK).await;
         assert_eq!(server.asked.get(), 1);
         assert!(server.sent.get() < MAX_TAKEN, "the daemon took {} bytes", server.sent.get());
+        assert_eq!((server.sending.get(), load(&fleet)), (0, 0), "connections and slots in use");
     });
 }
 
--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{
     Act, Daemon, Fleet, KEY, answers, conf, connect_narrow, connect_small, eventually, fleet, large,
@@ -225,3 +225,35 @@
         assert_whole(&mut caller, &[way.bytes()]).await;
     });
 }
+
+#[test]
+fn a_slow_caller_does_not_make_its_server_suspect() {
+    on_one_thread(async {
+        let fleet = Way::Passed.fleet(conf).await;
+        let daemon = &fleet.daemons[0];
+        for n in 0..4 {
+            let mut caller = connect_narrow(daemon.callers).await;
+            send(&mut caller, &get(&format!("r{n}"), "1.1", "x-deadline-ms: 600\r\n")).await;
+            sleep(Duration::from_millis(900)).await;
+        }
+        assert!(!daemon.node.exit.report(Instant::now()).condition.is_suspect());
+        assert_eq!(daemon.node.exit.load(), 0);
+    });
+}
+
+#[test]
+fn requests_behind_the_last_answer_do_not_run() {
+    on_one_thread(async {
+        let fleet = Way::Held.fleet(conf).await;
+        let mut caller = connect_small(fleet.daemons[0].callers).await;
+        send(&mut caller, &get("r1", "1.1", "connection: close\r\n")).await;
+        eventually(|| fleet.runs() == 1).await;
+        assert_whole(&mut caller, &[Way::Held.bytes()]).await;
+        for n in 2..6 {
+            send(&mut caller, &get(&format!("r{n}"), "1.1", "")).await;
+        }
+        sleep(Duration::from_millis(300)).await;
+        let seen = fleet.daemons[0].backend.seen.borrow();
+        assert!(seen.iter().all(|s| s.headers["x-request-id"] == "r1"), "{seen:?}");
+    });
+}
