Neither run nor read what comes behind the last answer of a connection

Change: what is discarded is read from the bare socket and bounded (1 MiB); nothing is started behind a request that asks for the close; a connection on which no answer was sent within a second is closed without reading.

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -155,6 +155,11 @@
     pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>, on_head: OnHead) -> Self {
         Self { inner: Inspected::new(stream, ambiguous), on_head }
     }
+
+    /// The stream, whose heads are no longer shown.
+    pub fn into_inner(self) -> TcpStream {
+        self.inner.stream
+    }
 }
 
 impl AsyncRead for Shown {
--- a/crates/relay/src/ahead.rs
+++ b/crates/relay/src/ahead.rs
@@ -58,12 +58,25 @@
     has_asked: Cell<bool>,
     /// Requests at their turn whose answers are not complete.
     unanswered: Cell<usize>,
+    /// Whether the connection closes with the answer to the request at its turn.
+    is_last: Cell<bool>,
 }
 
 impl Ahead {
     /// For a new connection.
     pub fn new(node: Rc<Node>) -> Self {
-        Self { node, seen: RefCell::default(), has_asked: Cell::new(false), unanswered: Cell::new(0) }
+        Self {
+            node,
+            seen: RefCell::default(),
+            has_asked: Cell::new(false),
+            unanswered: Cell::new(0),
+            is_last: Cell::new(false),
+        }
+    }
+
+    /// Takes in that the connection closes with the answer to the request at its turn: nothing behind it is started.
+    pub fn note_last(&self) {
+        self.is_last.set(true);
     }
 
     /// Takes in a head as soon as it arrives; `length` is that of its body, if known.
@@ -72,7 +85,8 @@
         let waits = self.unanswered.get() > 0 || !self.seen.borrow().is_empty();
         let has_room = self.seen.borrow().len() < MAX_AHEAD;
         // A daemon that stops closes its connections, and what it has passed on must be answered before.
-        let may_start = waits && has_room && length == Some(0) && !self.node.is_stopping();
+        let is_closing = self.is_last.get() || self.node.is_stopping();
+        let may_start = waits && has_room && length == Some(0) && !is_closing;
         let early = if may_start { self.start(head) } else { None };
         self.seen.borrow_mut().push_back(early.map_or(Seen::Left, Seen::Started));
     }
--- a/crates/relay/src/closing.rs
+++ b/crates/relay/src/closing.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use base::event;
-use edge::framing::Shown;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::ahead::Ahead;
-use crate::delivery::{Delivery, Followed};
+use crate::delivery::Delivery;
 
 /// Interval at which a connection that shall be closed is looked at.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(50);
@@ -18,6 +18,10 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Longest time for which a connection is read after its end was sent.
 const MAX_LINGER: Duration = Duration::from_secs(5);
+/// Time after which the bytes of an answer count as arrived.
+const UNDER_WAY: Duration = Duration::from_secs(1);
+/// Bytes that are discarded before a caller that doesn't stop sending is reset.
+const MAX_DISCARDED: usize = 1024 * 1024;
 /// Bytes read at once from a closed connection.
 const DISCARD_BYTES: usize = 4 * 1024;
 
@@ -34,24 +38,25 @@
     }
 }
 
-/// Ends a connection and discards what its caller still sends.
+/// Ends a connection and discards what its caller still sends, if an answer may still be on its way.
 ///
 /// The system resets a connection that is closed with unread bytes, and the caller then loses what it has not read of
 /// its answer. So the connection is read on until the caller closes it; only the first part of that time is waited for.
-pub async fn linger(mut stream: Followed<Shown>, delivery: &Delivery) {
+/// Where no answer can be lost nothing is read, so that the caller of a crossing request may send it again.
+pub async fn linger(mut stream: TcpStream, delivery: &Delivery) {
+    let now = Instant::now();
+    let Some(written) = delivery.last_written().filter(|at| now < *at + UNDER_WAY) else { return };
     if let Err(e) = stream.shutdown().await {
         log::debug!("connection of a caller broke while it was closed: {e}");
         return;
     }
-    let now = Instant::now();
-    let wait_until = delivery.last_written().map_or(now, |at| at + LINGER);
     let reading = spawn_local(discard(stream, now + MAX_LINGER));
-    if let Ok(Err(e)) = timeout_at(wait_until.into(), reading).await {
+    if let Ok(Err(e)) = timeout_at((written + LINGER).into(), reading).await {
         log::error!("reading a closed connection ended: {e}");
     }
 }
 
-async fn discard(mut stream: Followed<Shown>, until: Instant) {
+async fn discard(mut stream: TcpStream, until: Instant) {
     let mut discarded = 0;
     let mut buf = [0; DISCARD_BYTES];
     while let Ok(read) = timeout_at(until.into(), stream.read(&mut buf)).await {
@@ -63,6 +68,9 @@
                 break;
             }
         }
+        if discarded > MAX_DISCARDED {
+            break;
+        }
     }
     if discarded > 0 {
         event!(Info, BytesDiscarded, "bytes={discarded}");
--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -105,6 +105,11 @@
     pub fn new(stream: S, delivery: Rc<Delivery>) -> Self {
         Self { stream, delivery }
     }
+
+    /// The stream, whose writes are no longer followed.
+    pub fn into_inner(self) -> S {
+        self.stream
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Followed<S> {
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -103,7 +103,8 @@
             }
         }
     }
-    linger(conn.into_parts().io.into_inner(), &delivery).await;
+    let stream = conn.into_parts().io.into_inner().into_inner().into_inner();
+    linger(stream, &delivery).await;
 }
 
 /// Id of a request as logs show it.
@@ -130,12 +131,22 @@
     );
 }
 
+/// Whether the caller sends nothing more on its connection.
+fn asks_for_close(req: &Request<Incoming>) -> bool {
+    let tokens = req.headers().get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
+    let mut tokens = tokens.flat_map(|value| value.split(',')).map(str::trim);
+    tokens.any(|token| token.eq_ignore_ascii_case("close"))
+}
+
 async fn answer(
     node: &Node,
     ahead: &Ahead,
     ambiguous: &AtomicBool,
     req: Request<Incoming>,
 ) -> Response<Body> {
+    if asks_for_close(&req) {
+        ahead.note_last();
+    }
     if ambiguous.load(Relaxed) {
         let mut rep = Response::new(Body::whole(""));
         *rep.status_mut() = StatusCode::BAD_REQUEST;
