--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -32,7 +32,7 @@
 use store::{Commit, MemStore, Row, StoreError, StoreOp, StoreRep, Table};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
-use tokio::task::spawn_local;
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
@@ -60,6 +60,8 @@
     Break,
     /// Answers with the id of another request.
     Cross,
+    /// Runs the request, but what comes first is a late answer to another one, which was not run.
+    CrossShed,
     /// Answers without its signature.
     Unsigned,
     /// Answers after this many milliseconds.
@@ -153,6 +155,11 @@
                 guard.is_answered.set(true);
                 return Err(std::io::ErrorKind::ConnectionReset.into());
             }
+            Act::CrossShed => {
+                *rep.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                rep.headers_mut().insert("x-not-run", "1".parse().expect("a header value"));
+                rep.headers_mut().insert("x-request-id", "another".parse().expect("a header value"));
+            }
             Act::Cross => {
                 rep.headers_mut().insert("x-request-id", "another".parse().expect("a header value"));
             }
@@ -345,8 +352,11 @@
     let table: Rc<dyn Table> = Rc::clone(rows) as Rc<dyn Table>;
     let running = run(Rc::clone(&node), sockets, reader, table, stop.clone());
     let done = ended.clone();
+    // Its tasks end with it, as those of a process do.
+    let tasks = LocalSet::new();
     spawn_local(async move {
-        running.await;
+        tasks.run_until(running).await;
+        drop(tasks);
         done.cancel();
     });
     Daemon { node, callers: callers_addr, backend, stop, ended }
@@ -526,7 +536,7 @@
 /// Runs a test on one thread.
 pub fn on_one_thread(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, test);
+    LocalSet::new().block_on(&runtime, test);
 }
 
 /// A configuration: `/stock/` may be repeated, `/order/` may not, `/open/` needs no key.
@@ -534,15 +544,28 @@
     snapshot(hasher, 1, &[KEY], 1_000_000.0)
 }
 
+/// The same with routes whose requests may take longer than a daemon's grace time.
+pub fn patient_conf(hasher: &KeyHasher) -> Snapshot {
+    let mut pieces = pieces(hasher, &[KEY], 1_000_000.0);
+    for route in &mut pieces.routes {
+        route.timeout = Duration::from_secs(20);
+    }
+    pieces.into_snapshot(1).expect("the test's configuration is valid")
+}
+
 /// A configuration with these keys and this rate.
 pub fn snapshot(hasher: &KeyHasher, version: Version, keys: &[&str], rate: f64) -> Snapshot {
+    pieces(hasher, keys, rate).into_snapshot(version).expect("the test's configuration is valid")
+}
+
+fn pieces(hasher: &KeyHasher, keys: &[&str], rate: f64) -> Pieces {
     let key = |secret: &&str| Key {
         name: (*secret).into(),
         hash: hasher.hash(secret.as_bytes()),
         customer: "parish".into(),
         expires: None,
     };
-    let pieces = Pieces {
+    Pieces {
         services: vec![Service { name: SERVICE.into(), floor: 0.0, cross_region: true, queue: 100 }],
         customers: vec![Customer { name: "parish".into(), rate, burst: rate, rank: None }],
         keys: keys.iter().map(key).collect(),
@@ -552,8 +575,7 @@
             route("open", Repeat::Always, true),
         ],
         limits: CallerLimits::default(),
-    };
-    pieces.into_snapshot(version).expect("the test's configuration is valid")
+    }
 }
 
 fn route(name: &str, repeatable: Repeat, open: bool) -> Route {
