Let others use the server behind a stopping daemon while it takes work, for what it can finish

And requests that only waited in a queue when their caller's daemon ended were answered 502, 'may have run', instead of being placed elsewhere in time. Cause: a stopping daemon said at once that its server takes no work, while it went on taking it; and an order stated the whole time of its caller, not what is left of the daemon that waits for it. A stopping daemon states no more time than it has itself, so that the others decline at once what can't end before.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -296,7 +296,7 @@
             repetition: self.repetition(),
             insist: self.insist,
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
-            deadline_left: self.admitted.deadline.saturating_duration_since(now),
+            deadline_left: self.node.waits_until(self.admitted.deadline).saturating_duration_since(now),
         }
     }
 
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -48,6 +48,8 @@
 const MIN_PATIENCE: Duration = Duration::from_millis(150);
 /// How many times the expected time it waits otherwise.
 const PATIENCE_FACTOR: u32 = 2;
+/// How many times its expected time a run must have before the daemon ends; runs of one route differ.
+const SAFE_RUNS: u32 = 2;
 /// Slots of a server before its first heartbeat.
 const FIRST_SLOTS: usize = 1;
 
@@ -104,6 +106,8 @@
     /// Woken when `changed` is set.
     signal: Notify,
     is_stopping: Cell<bool>,
+    /// When the daemon ends, once it was told to stop; no run that would take longer is begun.
+    ends_at: Cell<Option<Instant>>,
 }
 
 impl Exit {
@@ -123,7 +127,16 @@
         };
         let (changed, is_stopping) = (Cell::new(None), Cell::new(false));
         let signal = Notify::new();
-        Self { names, pool: Pool::new(addr), state: RefCell::new(state), changed, signal, is_stopping }
+        let ends_at = Cell::new(None);
+        Self {
+            names,
+            pool: Pool::new(addr),
+            state: RefCell::new(state),
+            changed,
+            signal,
+            is_stopping,
+            ends_at,
+        }
     }
 
     /// Takes in a heartbeat of the server.
@@ -202,6 +215,11 @@
         self.signal.notify_one();
     }
 
+    /// Takes only work that is expected to end before `at` from now on.
+    pub fn end_at(&self, at: Instant) {
+        self.ends_at.set(Some(at));
+    }
+
     /// Takes no new work from now on.
     pub fn stop(&self) {
         self.is_stopping.set(true);
@@ -253,6 +271,7 @@
     pub async fn run(self: &Rc<Self>, order: &Order, req: Request<Bytes>) -> Result<Response<Body>, Verdict> {
         let now = Instant::now();
         let deadline = now + order.deadline_left;
+        let deadline = self.ends_at.get().map_or(deadline, |at| at.min(deadline));
         let id = req.headers().get(&self.names.request_id).cloned();
         let run = self
             .start(order, now, deadline)
@@ -336,6 +355,10 @@
             deadline,
             expected: state.times.expected(order.route_hash, order.objective_left),
         };
+        let needed = state.dispatch.wait_for(&work, now) + work.expected * SAFE_RUNS;
+        if self.ends_at.get().is_some_and(|at| now + needed > at) {
+            return Err(Verdict::declined(Reason::Stopping));
+        }
         let (ticket, granted) = match state.dispatch.offer(work, now) {
             Offered::Started(ticket) => (ticket, None),
             Offered::Waiting(ticket) => {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -106,6 +106,8 @@
     /// Whether the rows of the other daemons were read once.
     pub(crate) has_directory: Cell<bool>,
     is_stopping: Cell<bool>,
+    /// When a stopping daemon answers by itself whatever still runs.
+    answer_by: Cell<Option<Instant>>,
     callers: Cell<usize>,
 }
 
@@ -144,6 +146,7 @@
             kept_departures: RefCell::default(),
             has_directory: Cell::new(false),
             is_stopping: Cell::new(false),
+            answer_by: Cell::new(None),
             callers: Cell::new(0),
             bounds,
             me,
@@ -205,9 +208,15 @@
         self.is_stopping.get()
     }
 
-    /// Starts a graceful stop.
-    pub fn stop(&self) {
+    /// Until when the daemon can wait for an answer that is due by `deadline`.
+    pub(crate) fn waits_until(&self, deadline: Instant) -> Instant {
+        self.answer_by.get().map_or(deadline, |by| by.min(deadline))
+    }
+
+    /// Starts a graceful stop; what still runs at `answer_by` is answered by the daemon itself.
+    pub fn stop(&self, answer_by: Instant) {
         self.is_stopping.set(true);
+        self.answer_by.set(Some(answer_by));
         self.urgent.notify_one();
     }
 
@@ -281,8 +290,7 @@
     /// State for the daemon at `to`.
     pub fn status(&self, to: &DaemonId) -> Status {
         let now = Instant::now();
-        let mut report = self.exit.report(now);
-        report.takes_work &= !self.is_stopping.get();
+        let report = self.exit.report(now);
         let peers = self.peers.borrow();
         Status {
             incarnation: self.me.incarnation,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -94,10 +94,7 @@
     spawn_local(directory::remove_gone(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
     spawn_local(watch_changes(Rc::clone(&node)));
     stop.cancelled().await;
-    end(&node, &gossip, &connections, &closing).await;
-    if !node.exit.has_server() {
-        leave(&node, &gossip, &*table).await;
-    }
+    end(&node, &gossip, &*table, &connections, &closing).await;
     event!(Info, DaemonStopped, "{}", connections.left(&node));
 }
 
@@ -111,23 +108,39 @@
     }
 }
 
-async fn end(node: &Rc<Node>, gossip: &Gossip, connections: &Connections, closing: &CancellationToken) {
+async fn end(
+    node: &Rc<Node>,
+    gossip: &Gossip,
+    table: &dyn Table,
+    connections: &Connections,
+    closing: &CancellationToken,
+) {
     let grace = node.bounds.grace.saturating_sub(GRACE_MARGIN);
     let end_by = Instant::now() + grace;
     let answer_by = Instant::now() + grace.saturating_sub(ANSWER_MARGIN);
     let linger_until = Instant::now() + LINGER;
     event!(Info, DaemonStopping, "{}", connections.left(node));
-    node.stop();
-    gossip::announce(node, gossip);
+    node.exit.end_at(answer_by);
+    node.stop(answer_by);
     sleep_until(linger_until.into()).await;
     node.exit.stop();
+    gossip::announce(node, gossip);
     closing.cancel();
-    if timeout_at(answer_by.into(), connections.ended(node)).await.is_err() {
-        event!(Warn, GraceExceeded, "{}", connections.left(node));
-        node.ending.cancel();
-        // Cut at `end_by`: the system would kill the daemon soon after.
-        let _ = timeout_at(end_by.into(), connections.ended(node)).await;
+    finish(node, connections, answer_by, end_by).await;
+    if !node.exit.has_server() {
+        leave(node, gossip, table).await;
+    }
+}
+
+/// Waits for the work under way, and ends it when its time is over.
+async fn finish(node: &Node, connections: &Connections, answer_by: Instant, end_by: Instant) {
+    if timeout_at(answer_by.into(), connections.ended(node)).await.is_ok() {
+        return;
     }
+    event!(Warn, GraceExceeded, "{}", connections.left(node));
+    node.ending.cancel();
+    // Cut at `end_by`: the system would kill the daemon soon after.
+    let _ = timeout_at(end_by.into(), connections.ended(node)).await;
 }
 
 /// The server has left, so the instance goes too: takes this daemon out of the directory.
