Make the red test of a stopping exit show its fault each time, and pass once it is mended

It also waited for the end of the daemon before it read on, so that a daemon that waits for its caller would have failed. Change: two callers at once; both pause until 0.3 s after the run or the end of the time in which work is taken, and read on. As strict: every byte of both answers.

--- a/crates/relay/tests/stopping_exits.rs
+++ b/crates/relay/tests/stopping_exits.rs
@@ -5,49 +5,65 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Act, answers, conf, connect_narrow, eventually, fleet, large, on_one_thread, read_slowly, request,
+    Act, Daemon, answers, conf, connect_narrow, eventually, fleet, large, on_one_thread, read_slowly, request,
 };
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep_until;
 
 /// Bytes of an answer that a daemon passes on while it comes from another: more than all buffers on the way hold.
 const BYTES: usize = 3_400 * 1024;
 /// Bytes that a slow caller reads at once.
 const PER_READ: usize = 32 * 1024;
 /// Pause of a slow caller before each read.
-const PAUSE: Duration = Duration::from_millis(10);
-/// Time after its stop in which a daemon may end.
-const GRACE: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_millis(3);
+/// Time after its stop in which a daemon still takes work.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// Pause of the caller in the middle of an answer.
+const STALL: Duration = Duration::from_millis(300);
+/// Time after its stop at which a daemon ends whatever still runs.
+const GRACE: Duration = Duration::from_millis(5_250);
+
+/// Reads slowly until no run is left at the exit, pauses, and reads on; returns what came and how it ended.
+async fn read_past_the_run(caller: &mut TcpStream, exit: &Daemon, stopped: Instant) -> (Vec<u8>, String) {
+    let (mut rep, _) = read_slowly(caller, PER_READ, PAUSE, |_| exit.node.exit.load() == 0).await;
+    // Long enough for a daemon that does not wait for the caller to end.
+    sleep_until((Instant::now().max(stopped + LINGER) + STALL).into()).await;
+    let is_done = |rest: &[u8]| is_whole(&[&rep, rest].concat());
+    let (rest, end) = read_slowly(caller, PER_READ, Duration::ZERO, is_done).await;
+    rep.extend(rest);
+    (rep, end)
+}
+
+fn is_whole(rep: &[u8]) -> bool {
+    answers(rep).first().is_some_and(|(_, body)| body.len() >= BYTES)
+}
 
 #[test]
-fn an_answer_under_way_to_another_daemon_is_whole_when_the_daemon_beside_the_server_ends() {
+fn answers_under_way_to_another_daemon_are_whole_when_the_daemon_beside_the_server_ends() {
     on_one_thread(async {
         let act: &[Act] = &[Act::Large(BYTES, 100)];
         let fleet = fleet(&[act, act], conf).await;
-        fleet.daemons[0].register(2, true);
-        let mut caller = connect_narrow(fleet.daemons[0].callers).await;
-        caller.write_all(request("GET", "/stock/a", "r1", "").as_bytes()).await.expect("the daemon reads");
-        eventually(|| fleet.daemons[1].runs() == 1).await;
-        caller.readable().await.expect("an answer");
-        let exit = &fleet.daemons[1];
+        let (entry, exit) = (&fleet.daemons[0], &fleet.daemons[1]);
+        entry.register(2, true);
+        let (mut first, mut second) =
+            (connect_narrow(entry.callers).await, connect_narrow(entry.callers).await);
+        for (caller, id) in [(&mut first, "r1"), (&mut second, "r2")] {
+            caller.write_all(request("GET", "/stock/a", id, "").as_bytes()).await.expect("the daemon reads");
+        }
+        eventually(|| exit.runs() == 2).await;
         let stopped = Instant::now();
         exit.stop.cancel();
-        // Until the daemon beside the server has taken the last byte from it.
-        let (mut rep, _) = read_slowly(&mut caller, PER_READ, PAUSE, |_| exit.node.exit.load() == 0).await;
-        exit.ended.cancelled().await;
-        let before = rep.len();
-        let is_done = |rest: &[u8]| {
-            answers(&[&rep, rest].concat()).first().is_some_and(|(_, body)| body.len() >= BYTES)
-        };
-        let (rest, end) = read_slowly(&mut caller, PER_READ, Duration::ZERO, is_done).await;
-        rep.extend(rest);
-        let took = stopped.elapsed();
-        let got: Vec<_> = answers(&rep).iter().map(|(status, body)| (*status, body.len())).collect();
-        assert_eq!(
-            got,
-            [(200, BYTES)],
-            "{end} {took:?} after the stop; {before} bytes before the daemon ended"
+        let (first, second) = tokio::join!(
+            read_past_the_run(&mut first, exit, stopped),
+            read_past_the_run(&mut second, exit, stopped)
         );
-        assert!(answers(&rep)[0].1 == large(BYTES), "the body's bytes differ");
-        assert!(took < GRACE, "the caller was too slow for the grace time: {took:?}");
+        let took = stopped.elapsed();
+        for (rep, end) in [first, second] {
+            let got: Vec<_> = answers(&rep).iter().map(|(status, body)| (*status, body.len())).collect();
+            assert_eq!(got, [(200, BYTES)], "{end}; read for {took:?}");
+            assert!(answers(&rep)[0].1 == large(BYTES), "the body's bytes differ");
+        }
+        assert!(took < GRACE, "the callers were too slow for the grace time: {took:?}");
     });
 }
