Show by a red test that a request in a queue is answered as unknown when its entry ends

Callers see: 502 with 'x-pomelo-run: unknown' at the end of the grace time, 5.25 s after the stop, for a request that never reached a server; it may not be repeated, though 503 'not run' would have been true. Cause: the entry counts a request as sent as soon as it is handed off; the daemon beside the server does not say that it only waits. Change: test only: both slots run without end, the third request waits (the route's runs take 2 s, so patience is 4 s).

--- a/crates/relay/tests/stopping_exits.rs
+++ b/crates/relay/tests/stopping_exits.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Act, Daemon, answers, conf, connect_narrow, eventually, fleet, large, on_one_thread, read_slowly, request,
+    Act, Daemon, answers, conf, connect_narrow, eventually, fleet, large, on_one_thread, read_slowly,
+    request, status,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -21,9 +22,15 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Pause of the caller in the middle of an answer.
 const STALL: Duration = Duration::from_millis(300);
+/// Time of a run in milliseconds.
+const RUN_MS: u64 = 2_000;
 /// Time after its stop at which a daemon ends whatever still runs.
 const GRACE: Duration = Duration::from_millis(5_250);
 
+async fn connect(daemon: &Daemon) -> TcpStream {
+    TcpStream::connect(daemon.callers).await.expect("the daemon listens")
+}
+
 /// Reads slowly until no run is left at the exit, pauses, and reads on; returns what came and how it ended.
 async fn read_past_the_run(caller: &mut TcpStream, exit: &Daemon, stopped: Instant) -> (Vec<u8>, String) {
     let (mut rep, _) = read_slowly(caller, PER_READ, PAUSE, |_| exit.node.exit.load() == 0).await;
@@ -67,3 +74,27 @@
         assert!(took < GRACE, "the callers were too slow for the grace time: {took:?}");
     });
 }
+
+#[test]
+fn a_request_that_still_waits_for_a_server_when_the_entry_ends_is_answered_as_not_run() {
+    on_one_thread(async {
+        let slow = Act::After(RUN_MS);
+        let fleet = fleet(&[&[Act::Answer], &[slow, slow, Act::Hang]], conf).await;
+        let (entry, exit) = (&fleet.daemons[0], &fleet.daemons[1]);
+        entry.register(2, true);
+        entry.stop.cancel();
+        let stopped = Instant::now();
+        // The daemon beside the server learns how long runs take, and lets requests wait accordingly.
+        tokio::join!(exit.post("/order/a", "r1"), exit.post("/order/a", "r2"));
+        let (mut first, mut second) = (connect(exit).await, connect(exit).await);
+        for (caller, id) in [(&mut first, "r3"), (&mut second, "r4")] {
+            caller.write_all(request("POST", "/order/a", id, "").as_bytes()).await.expect("the daemon reads");
+        }
+        eventually(|| exit.runs() == 4).await;
+        let rep = entry.post("/order/a", "r5").await;
+        let took = stopped.elapsed();
+        assert!(took > Duration::from_secs(4), "it did not wait: {took:?} {rep}");
+        assert_eq!(exit.runs(), 4, "it ran");
+        assert_eq!(status(&rep), 503, "{rep}");
+    });
+}
