Test that a caller which goes on sending can read an early answer

Guards against an answer of the daemon's own (400, 401, 404, 413) that is destroyed by the reset which follows when the caller still sends a body after the daemon has stopped reading (500 ms).

--- /dev/null
+++ b/crates/relay/tests/early_answers.rs
@@ -0,0 +1,61 @@
+//! Answers of the daemon's own that come while the request is still being sent: callers have to be able to read them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Act, KEY, conf, fleet, on_one_thread, read_until, status};
+use conf::{KeyHasher, Snapshot};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Largest body of a request in bytes.
+const MAX_BODY: usize = 64 * 1024;
+/// Bytes of the body that the caller sends at once.
+const PART_BYTES: usize = 32 * 1024;
+/// Parts of the body.
+const PARTS: usize = 40;
+
+fn small_bodies(hasher: &KeyHasher) -> Snapshot {
+    let mut conf = conf(hasher);
+    conf.limits.body_bytes = MAX_BODY;
+    conf
+}
+
+/// Head of a request whose body the caller sends.
+fn post(path: &str, header: &str) -> String {
+    let length = PARTS * PART_BYTES;
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\nx-request-id: r1\r\ncontent-length: {length}\r\n{header}\r\n")
+}
+
+#[rstest]
+#[case::too_large(post("/order/a", &format!("x-api-key: {KEY}\r\n")), 413, 30)]
+#[case::too_large_and_fast(post("/order/a", &format!("x-api-key: {KEY}\r\n")), 413, 0)]
+#[case::two_lengths(post("/open/a", "content-length: 1\r\n"), 400, 30)]
+#[case::two_lengths_and_fast(post("/open/a", "content-length: 1\r\n"), 400, 0)]
+#[case::no_route(post("/none/a", ""), 404, 30)]
+#[case::no_route_and_fast(post("/none/a", ""), 404, 0)]
+#[case::no_key(post("/order/a", ""), 401, 30)]
+fn a_caller_that_goes_on_sending_can_read_an_early_answer(
+    #[case] head: String,
+    #[case] expected: u16,
+    #[case] pause_ms: u64,
+) {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], small_bodies).await;
+        let mut caller = TcpStream::connect(fleet.daemons[0].callers).await.expect("the daemon listens");
+        caller.write_all(head.as_bytes()).await.expect("the daemon reads");
+        let (part, mut sent) = (vec![b'a'; PART_BYTES], 0);
+        // Longer than the daemon reads a connection that it has closed, unless it breaks.
+        while sent < PARTS && caller.write_all(&part).await.is_ok() {
+            sent += 1;
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+        let rep = read_until(&mut caller, "\r\n\r\n").await;
+        assert_eq!(status(&rep), expected, "{rep} after {sent} parts of {PARTS}");
+        assert!(rep.ends_with("\r\n\r\n"), "cut: {rep}");
+        assert_eq!(fleet.runs(), 0);
+    });
+}
