--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -202,7 +202,8 @@
         eventually(|| fleet.runs() == 1).await;
         stop(&fleet.daemons[0]).await;
         // Longer than the daemon reads a connection that it has closed.
-        sleep(Duration::from_millis(WORK_MS + 900)).await;
+        caller.readable().await.expect("an answer");
+        sleep(Duration::from_millis(900)).await;
         send(&mut caller, &get("r2", "1.1", "")).await;
         assert_whole(&mut caller, &[way.bytes()]).await;
     });
