Break a slow run off only once another server has answered

Cause: the daemon beside the server broke an overdue run off because another try had been promised. The try came, but every other daemon declined it: a run was given up for an answer that nobody gave.

Change: the daemon beside the server no longer breaks off; it still counts the failure, so that the server becomes suspect. The caller's daemon keeps the slow attempt under way (it owns what it needs, attempt.rs) and asks another daemon beside it once five times the expected time and the objective are past, the server is suspect or its daemon not heard, and a retry is covered. The first good answer wins and drops the other. If nothing is left to try, the slow one is waited for. Never for requests that may run once only, never by a daemon that stops; both count towards the route's attempts. The expected time is learnt by route from answers, as the daemon beside the server does.

Four tests in tests/peers.rs for when a daemon is in doubt.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -1,27 +1,28 @@
 //! The attempts of one admitted request: chooses daemons, hands it to them, repeats what may be repeated.
+//!
+//! A repeatable request whose run takes far longer than expected, at a server that is thought to fail, is handed to
+//! another daemon too. The slow run goes on until another server has answered: the other try may come to nothing.
 
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::future::pending;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use base::{DaemonId, Refusal, RetryReason, event};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONTENT_LENGTH, HOST};
-use hyper::http::uri::PathAndQuery;
-use hyper::{Request, Response, Uri};
+use hyper::{Request, Response};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::place::{Candidate, Distance, Need, place};
 use smallvec::SmallVec;
-use tokio::time::timeout_at;
+use tokio::time::{sleep, sleep_until};
 
-use crate::body::{Body, MAX_HELD_BYTES, hold};
+use crate::attempt::{Call, Facts, Outcome, UnderWay};
+use crate::body::Body;
 use crate::entry::{Admitted, MIN_RETRY_AFTER, Refused};
-use crate::handoff::{self, ORDER, Order, REPORT, Reason, Repetition, Report, VERDICT, Verdict};
-use crate::links::LinkError;
+use crate::handoff::{Order, Reason, Repetition, Verdict};
 use crate::node::Node;
 
 /// Hand-offs of one request that may be declined before it is refused.
@@ -30,21 +31,16 @@
 const MAX_SUSPECTS: usize = 3;
 /// Longest wait for a first server.
 const SERVER_WAIT: Duration = Duration::from_millis(150);
-/// Time past the deadline in which an answer still counts.
-const DEADLINE_SLACK: Duration = Duration::from_millis(250);
+/// Pause between two looks at whether an overdue attempt's server is thought to fail.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Bytes of the heads of a request and its answer.
 const HEAD_BYTES: u64 = 1_024;
-/// Weight of a new answer in the mean size.
-const SIZE_WEIGHT: f64 = 0.2;
 
 /// Mean sizes of answers, by hash of the route's name.
 pub type AnswerSizes = HashMap<u32, f64>;
 
-/// What became of one attempt.
-enum Outcome {
-    Answer(Box<Response<Body>>),
-    Verdict(Verdict),
-}
+/// How a request ended.
+type Done = Result<Response<Body>, Refused>;
 
 /// The attempts of one request.
 pub(crate) struct Attempts<'a> {
@@ -54,7 +50,9 @@
     /// Whether an attempt is under way; its effect is not known.
     is_sent: &'a Cell<bool>,
     repeatable: bool,
-    /// Daemons that declined or failed it.
+    /// Daemon of an overdue attempt that is still under way.
+    slow: Option<DaemonId>,
+    /// Daemons that declined or failed it, or are slow.
     tried: SmallVec<[DaemonId; 8]>,
     /// Servers that it may have reached.
     reached: u32,
@@ -83,6 +81,7 @@
             admitted,
             is_sent,
             repeatable: admitted.route.is_repeatable(admitted.head.method.as_str()),
+            slow: None,
             tried: SmallVec::new(),
             reached: 0,
             declines: 0,
@@ -95,65 +94,132 @@
     }
 
     /// Hands the request to daemons until one answers or nothing is left to try.
-    pub(crate) async fn run(mut self) -> Result<Response<Body>, Refused> {
+    pub(crate) async fn run(mut self) -> Done {
         // What a running request calls for is no request of a caller.
         if !self.admitted.route.open {
             self.node.earn_retry(&self.admitted.service);
         }
+        let mut under_way = UnderWay::default();
+        let mut wants_more = true;
         loop {
-            let Some(to) = self.choose().await else { break };
-            let sent_at = Instant::now();
-            let report_ms = self.report_ms(to, sent_at);
-            self.is_sent.set(true);
-            let outcome = self.attempt(to).await;
-            let is_declined = matches!(outcome, Outcome::Verdict(Verdict::Declined { .. }));
-            self.is_sent.set(!is_declined || self.unknown.is_some());
-            let took_ms = sent_at.elapsed().as_millis();
-            let reason = match outcome {
-                Outcome::Answer(rep) if !rep.status().is_server_error() || !self.repeatable => {
-                    let status = rep.status().as_u16();
-                    let customer = self.admitted.customer.as_deref().unwrap_or("-");
-                    let (id, route) = (self.id, &self.admitted.route.name);
-                    event!(
-                        Info,
-                        RequestAnswered,
-                        "id={id} route={route} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
-                    );
-                    return Ok(*rep);
-                }
-                Outcome::Answer(rep) => {
-                    let status = rep.status().as_u16();
-                    let id = self.id;
-                    event!(
-                        Info,
-                        RequestFailed,
-                        "id={id} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
-                    );
-                    self.fallback = Some(*rep);
-                    self.reached += 1;
-                    RetryReason::ServerError
-                }
-                Outcome::Verdict(verdict) => {
-                    event!(
-                        Info,
-                        RequestFailed,
-                        "id={} to={to} report_ms={report_ms} outcome={verdict:?} took_ms={took_ms}",
-                        self.id
-                    );
-                    self.note(verdict)?
+            if wants_more && let Some(to) = self.choose().await {
+                self.is_sent.set(true);
+                under_way.start(self.call(to));
+            }
+            if under_way.len() == 0 {
+                return self.give_up();
+            }
+            let only = under_way.only();
+            wants_more = tokio::select! {
+                biased;
+                (facts, outcome) = under_way.ended() => match self.take_in(facts, outcome, under_way.len()) {
+                    ControlFlow::Break(done) => return done,
+                    ControlFlow::Continue(wants_more) => wants_more,
+                },
+                slow = self.slow_one(only) => {
+                    self.note_slow(slow);
+                    true
                 }
             };
-            self.tried.push(to);
-            if self.reached >= self.admitted.route.attempts || Instant::now() >= self.admitted.deadline {
-                break;
+        }
+    }
+
+    /// Takes in how an attempt ended while `others` go on; says whether a further one shall be made.
+    fn take_in(&mut self, facts: Facts, outcome: Outcome, others: usize) -> ControlFlow<Done, bool> {
+        let to = facts.to;
+        let is_declined = matches!(outcome, Outcome::Verdict(Verdict::Declined { .. }));
+        self.is_sent.set(!is_declined || others > 0 || self.unknown.is_some());
+        self.slow.take_if(|slow| *slow == to);
+        let reason = match outcome {
+            Outcome::Answer(rep) if !rep.status().is_server_error() || !self.repeatable => {
+                self.note_time(facts, &rep);
+                self.log_answer(facts, &rep);
+                return ControlFlow::Break(Ok(*rep));
             }
-            if reason == RetryReason::Silent {
-                self.node.spend_promised_retry(&self.admitted.service, reason);
-            } else if !self.node.spend_retry(&self.admitted.service, reason) {
-                break;
+            Outcome::Answer(rep) => {
+                self.log_failure(facts, &format!("status={}", rep.status().as_u16()));
+                self.fallback = Some(*rep);
+                self.reached += 1;
+                RetryReason::ServerError
             }
+            Outcome::Verdict(verdict) => {
+                self.log_failure(facts, &format!("outcome={verdict:?}"));
+                match self.note(verdict) {
+                    Ok(reason) => reason,
+                    Err(refused) => return ControlFlow::Break(Err(refused)),
+                }
+            }
+        };
+        if !self.tried.contains(&to) {
+            self.tried.push(to);
+        }
+        let has_newer = others > 0 && self.slow.is_none();
+        ControlFlow::Continue(!has_newer && self.spend_retry(reason, others))
+    }
+
+    fn note_time(&self, facts: Facts, rep: &Response<Body>) {
+        if !rep.status().is_server_error() {
+            let took = facts.sent_at.elapsed();
+            self.node.answer_times.borrow_mut().add(self.admitted.route_hash, took);
+        }
+    }
+
+    fn log_answer(&self, facts: Facts, rep: &Response<Body>) {
+        let Facts { to, report_ms, .. } = facts;
+        let (status, took_ms) = (rep.status().as_u16(), facts.sent_at.elapsed().as_millis());
+        let customer = self.admitted.customer.as_deref().unwrap_or("-");
+        let (id, route) = (self.id, &self.admitted.route.name);
+        event!(
+            Info,
+            RequestAnswered,
+            "id={id} route={route} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
+        );
+    }
+
+    fn log_failure(&self, facts: Facts, shown: &str) {
+        let Facts { to, report_ms, .. } = facts;
+        let (id, took_ms) = (self.id, facts.sent_at.elapsed().as_millis());
+        event!(Info, RequestFailed, "id={id} to={to} report_ms={report_ms} {shown} took_ms={took_ms}");
+    }
+
+    /// Whether a further attempt may be made beside those under way; spends its price.
+    fn spend_retry(&self, reason: RetryReason, under_way: usize) -> bool {
+        let has_attempts = self.reached + (under_way as u32) < self.admitted.route.attempts;
+        // A daemon that stops has the time for the attempts that are under way.
+        let only_waits = under_way > 0 && self.node.is_stopping();
+        has_attempts
+            && !only_waits
+            && Instant::now() < self.admitted.deadline
+            && self.node.spend_retry(&self.admitted.service, reason)
+    }
+
+    /// Waits until the only attempt under way is overdue, its server thought to fail and another attempt covered.
+    async fn slow_one(&self, only: Option<Facts>) -> Facts {
+        let Some(facts) = only.filter(|_| self.repeatable && self.slow.is_none()) else {
+            return pending().await;
+        };
+        sleep_until(facts.overdue_at.into()).await;
+        while !(self.is_doubtful(facts) && self.spend_retry(RetryReason::Silent, 1)) {
+            sleep(LOOK_INTERVAL).await;
+        }
+        facts
+    }
+
+    /// Whether the server of an attempt is thought to fail, or its daemon is not heard.
+    fn is_doubtful(&self, facts: Facts) -> bool {
+        let now = Instant::now();
+        if facts.to == self.node.me.addr {
+            return self.node.exit.is_suspect(now);
         }
-        self.give_up()
+        self.node.peers.borrow().is_doubtful(&facts.to, facts.sent_at, now)
+    }
+
+    /// Takes in that an attempt goes on beside the next.
+    fn note_slow(&mut self, facts: Facts) {
+        let (id, to, took_ms) = (self.id, facts.to, facts.sent_at.elapsed().as_millis());
+        event!(Info, RequestRetried, "id={id} slow={to} report_ms={} took_ms={took_ms}", facts.report_ms);
+        self.slow = Some(to);
+        self.tried.push(to);
     }
 
     /// Takes in a verdict; fails if no further attempt may be made.
@@ -187,7 +253,7 @@
         }
     }
 
-    fn give_up(self) -> Result<Response<Body>, Refused> {
+    fn give_up(self) -> Done {
         if let Some(rep) = self.fallback {
             return Ok(rep);
         }
@@ -216,12 +282,13 @@
                 // Suspect servers are better than none.
                 self.insist = true;
                 self.tried.clear();
+                self.tried.extend(self.slow);
                 continue;
             }
             if !self.tried.is_empty() || Instant::now() >= patience {
                 return None;
             }
-            tokio::time::sleep(SERVER_WAIT / 5).await;
+            sleep(SERVER_WAIT / 5).await;
         }
     }
 
@@ -234,7 +301,7 @@
         let sizes = self.node.answer_sizes.borrow();
         let size = sizes.get(&self.admitted.route_hash).copied().unwrap_or(0.0);
         let need = Need {
-            repeatable: self.repeatable && self.reached == 0,
+            repeatable: self.repeatable && self.reached == 0 && self.slow.is_none(),
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
             bytes: size as u64 + self.admitted.body.len() as u64 + HEAD_BYTES,
         };
@@ -263,27 +330,6 @@
         addrs.push(me);
     }
 
-    /// Age in milliseconds of the report by which a daemon was chosen; -1 if there was none.
-    fn report_ms(&self, to: DaemonId, now: Instant) -> i64 {
-        if to == self.node.me.addr {
-            return 0;
-        }
-        self.node.peers.borrow().report_age(&to, now).map_or(-1, |age| age.as_millis() as i64)
-    }
-
-    /// Whether the request may be repeated, and another try would follow if a run took too long.
-    fn repetition(&self) -> Repetition {
-        let has_attempts = self.reached + 1 < self.admitted.route.attempts;
-        let is_covered = self.node.covers_retry(&self.admitted.service, RetryReason::Silent);
-        if !self.repeatable {
-            Repetition::Never
-        } else if has_attempts && is_covered && !self.node.is_stopping() {
-            Repetition::Promised
-        } else {
-            Repetition::Allowed
-        }
-    }
-
     fn order(&self) -> Order {
         let now = Instant::now();
         Order {
@@ -293,18 +339,22 @@
             route_hash: self.admitted.route_hash,
             rank: self.admitted.rank,
             nested: self.admitted.route.open,
-            repetition: self.repetition(),
+            repetition: if self.repeatable { Repetition::Allowed } else { Repetition::Never },
             insist: self.insist,
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
             deadline_left: self.admitted.deadline.saturating_duration_since(now),
         }
     }
 
-    async fn attempt(&self, to: DaemonId) -> Outcome {
-        let last = self.admitted.deadline + DEADLINE_SLACK;
-        let work =
-            async { if to == self.node.me.addr { self.run_here().await } else { self.hand_off(to).await } };
-        timeout_at(last.into(), work).await.unwrap_or(Outcome::Verdict(Verdict::Overdue))
+    fn call(&self, to: DaemonId) -> Call {
+        Call {
+            node: Rc::clone(self.node),
+            id: self.id.into(),
+            to,
+            order: self.order(),
+            req: self.request(),
+            deadline: self.admitted.deadline,
+        }
     }
 
     fn request(&self) -> Request<Bytes> {
@@ -315,73 +365,4 @@
         *req.headers_mut() = head.headers.clone();
         req
     }
-
-    async fn run_here(&self) -> Outcome {
-        match self.node.exit.run(&self.order(), self.request()).await {
-            Ok(rep) => Outcome::Answer(Box::new(rep)),
-            Err(verdict) => Outcome::Verdict(verdict),
-        }
-    }
-
-    async fn hand_off(&self, to: DaemonId) -> Outcome {
-        let Some(req) = self.for_link() else {
-            return Outcome::Verdict(Verdict::declined(Reason::Unreachable));
-        };
-        self.node.peers.borrow_mut().note_handoff(to);
-        match self.node.links.send(to, req).await {
-            Ok(rep) => self.take_answer(to, rep).await,
-            Err(e) => {
-                self.node.peers.borrow_mut().note_path_failure(to, Instant::now());
-                self.node.links.forget(&to);
-                Outcome::Verdict(match e {
-                    LinkError::NotSent => Verdict::declined(Reason::Unreachable),
-                    LinkError::Unknown => Verdict::Broken,
-                })
-            }
-        }
-    }
-
-    /// The request in the form for a connection between daemons: the host is part of the target.
-    fn for_link(&self) -> Option<Request<Full<Bytes>>> {
-        let mut req = self.request();
-        let host = req.headers_mut().remove(HOST)?;
-        let uri = Uri::builder().scheme("http").authority(host.as_bytes());
-        let path = req.uri().path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
-        *req.uri_mut() = uri.path_and_query(path).build().ok()?;
-        *req.version_mut() = hyper::Version::HTTP_2;
-        handoff::put(req.headers_mut(), &ORDER, &self.order());
-        Some(req.map(Full::new))
-    }
-
-    async fn take_answer(&self, from: DaemonId, rep: Response<Incoming>) -> Outcome {
-        let (mut parts, body) = rep.into_parts();
-        if let Some(report) = handoff::take::<Report>(&mut parts.headers, &REPORT) {
-            self.node.peers.borrow_mut().note_report(from, report, Instant::now());
-        }
-        if let Some(verdict) = handoff::take(&mut parts.headers, &VERDICT) {
-            return Outcome::Verdict(verdict);
-        }
-        parts.version = hyper::Version::HTTP_11;
-        if body.size_hint().upper().is_some_and(|bytes| bytes > MAX_HELD_BYTES as u64) {
-            let until = self.admitted.deadline + DEADLINE_SLACK;
-            let rep = Response::from_parts(parts, Body::passing(body, None, until));
-            return Outcome::Answer(Box::new(rep));
-        }
-        let bytes = match hold(body, MAX_HELD_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                log::debug!("answer of {from} to {}: {e}", self.id);
-                return Outcome::Verdict(Verdict::Broken);
-            }
-        };
-        self.note_size(bytes.len());
-        parts.headers.remove(CONTENT_LENGTH);
-        Outcome::Answer(Box::new(Response::from_parts(parts, Body::whole(bytes))))
-    }
-
-    fn note_size(&self, bytes: usize) {
-        let mut sizes = self.node.answer_sizes.borrow_mut();
-        let mean = sizes.entry(self.admitted.route_hash).or_insert(bytes as f64);
-        *mean += SIZE_WEIGHT * (bytes as f64 - *mean);
-    }
 }
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -50,10 +50,8 @@
 pub enum Repetition {
     /// It may run once at most.
     Never,
-    /// It may run again, but no further try is promised.
+    /// It may run again.
     Allowed,
-    /// Another try will follow; a run that takes far longer than expected may be broken off.
-    Promised,
 }
 
 /// Why a request was declined. It has not run and will not.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 pub mod ahead;
+mod attempt;
 pub mod attempts;
 pub mod body;
 pub mod clock;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::peers::{Hello, Incarnation, Listed, Peers, Status};
 use crate::refresh::Fetched;
 use crate::registration::Departure;
+use crate::times::RunTimes;
 
 /// Pause between two questions for tokens to other data centres.
 const REFILL_PAUSE: Duration = Duration::from_millis(200);
@@ -93,6 +94,8 @@
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) split: RefCell<Split>,
     pub(crate) answer_sizes: RefCell<AnswerSizes>,
+    /// Times from hand-off to answer, at all servers.
+    pub(crate) answer_times: RefCell<RunTimes>,
     /// When tokens of a customer were last asked for in another data centre.
     refills: RefCell<HashMap<CustomerId, Instant>>,
     /// Set once datagrams can be sent.
@@ -137,6 +140,7 @@
             freshness: RefCell::default(),
             split: RefCell::new(Split::new(bounds.rate_tolerance)),
             answer_sizes: RefCell::default(),
+            answer_times: RefCell::default(),
             refills: RefCell::default(),
             gossip: RefCell::default(),
             budgets: RefCell::default(),
@@ -255,19 +259,6 @@
         }
     }
 
-    /// Whether one more try at the service would be covered now.
-    pub(crate) fn covers_retry(&self, service: &str, reason: base::RetryReason) -> bool {
-        self.budgets.borrow().get(service).is_some_and(|b| b.covers(reason))
-    }
-
-    /// Spends the price of a try that was promised while it was covered.
-    pub(crate) fn spend_promised_retry(&self, service: &str, reason: base::RetryReason) {
-        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
-            budget.spend_promised(reason);
-            self.metrics.retries.with_label_values(&[reason.code()]).inc();
-        }
-    }
-
     /// Whether one more try at the service is covered; spends its price.
     pub(crate) fn spend_retry(&self, service: &str, reason: base::RetryReason) -> bool {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -278,6 +278,18 @@
         Some(now.saturating_duration_since(reported_at))
     }
 
+    /// Whether a daemon to which a request was handed at `since` is not heard or its server is thought to fail.
+    /// Daemons of other regions send no states, only reports with their answers; one that sent none since then is in
+    /// doubt too.
+    pub fn is_doubtful(&self, addr: &DaemonId, since: Instant, now: Instant) -> bool {
+        let Some(peer) = self.by_addr.get(addr) else {
+            return true;
+        };
+        let Candidate { distance, condition, reachable, .. } = self.candidate(peer, 0, now);
+        let is_silent = distance == Distance::Beyond && peer.reported_at.is_none_or(|at| at < since);
+        condition.is_suspect() || !reachable || is_silent
+    }
+
     /// Notes a hand-off.
     pub fn note_handoff(&mut self, to: DaemonId) {
         if let Some(peer) = self.by_addr.get_mut(&to) {
--- a/crates/relay/src/sent.rs
+++ b/crates/relay/src/sent.rs
@@ -12,13 +12,13 @@
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::body::{Body, HOLD_BYTES, MAX_HELD_BYTES, hold};
-use crate::handoff::{Order, Reason, Repetition, Verdict};
+use crate::handoff::{Order, Reason, Verdict};
 use crate::names::Names;
 use crate::pool::Conn;
 use crate::slot::Run;
 
 /// How many times its expected time a run takes before it counts as a failure.
-const OVERDUE_FACTOR: u32 = 5;
+pub(crate) const OVERDUE_FACTOR: u32 = 5;
 /// Time past the deadline in which the server's own answer still counts.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
@@ -75,11 +75,8 @@
             return rep.map_err(|_broken| self.broken());
         }
         if overdue < last {
+            // The run goes on: whether another server has answered is known to the caller's daemon only.
             exit.observe(Shown::Failure, Instant::now());
-            let is_suspect = exit.is_suspect(Instant::now());
-            if self.order.repetition == Repetition::Promised && is_suspect {
-                return Err(Verdict::Overdue);
-            }
         }
         tokio::select! {
             rep = answered => rep.map_err(|_broken| self.broken()),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -376,9 +376,18 @@
 impl Daemon {
     /// Sends a heartbeat of the server.
     pub fn register(&self, sequence: u64, draining: bool) {
+        self.heartbeat(1, sequence, draining);
+    }
+
+    /// Sends the first heartbeat of a server that was started anew.
+    pub fn register_again(&self) {
+        self.heartbeat(2, 1, false);
+    }
+
+    fn heartbeat(&self, born: u64, sequence: u64, draining: bool) {
         let heartbeat = Heartbeat {
             id: format!("server-{}", self.node.me.incarnation % 100).into(),
-            born: 1,
+            born,
             sequence,
             service: SERVICE.into(),
             slots: 2,
@@ -553,6 +562,15 @@
     pieces.into_snapshot(1).expect("the test's configuration is valid")
 }
 
+/// The same with routes of which a run counts as overdue after 1.2 s while none has been seen.
+pub fn calm_conf(hasher: &KeyHasher) -> Snapshot {
+    let mut pieces = pieces(hasher, &[KEY], 1_000_000.0);
+    for route in &mut pieces.routes {
+        route.objective = Duration::from_millis(800);
+    }
+    pieces.into_snapshot(1).expect("the test's configuration is valid")
+}
+
 /// A configuration with these keys and this rate.
 pub fn snapshot(hasher: &KeyHasher, version: Version, keys: &[&str], rate: f64) -> Snapshot {
     pieces(hasher, keys, rate).into_snapshot(version).expect("the test's configuration is valid")
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -203,3 +203,44 @@
     let now = Instant::now();
     assert!(peers(now).may_fetch(0, now));
 }
+
+/// What a daemon's state says of a server that is thought to fail.
+fn failing(members: u16) -> Status {
+    let sound = status(members, true);
+    Status { report: Report { condition: Condition::Suspect, ..sound.report }, ..sound }
+}
+
+#[test]
+fn a_slow_run_at_a_server_that_is_heard_to_be_sound_is_not_in_doubt() {
+    let now = Instant::now();
+    let mut peers = peers(now);
+    peers.note_status(addr(1), &status(50, true), now);
+    assert!(!peers.is_doubtful(&addr(1), now, now));
+}
+
+#[test]
+fn a_slow_run_at_a_server_that_is_thought_to_fail_is_in_doubt() {
+    let now = Instant::now();
+    let mut peers = peers(now);
+    peers.note_status(addr(1), &failing(50), now);
+    assert!(peers.is_doubtful(&addr(1), now, now));
+}
+
+#[test]
+fn a_slow_run_at_a_silent_daemon_is_in_doubt() {
+    let now = Instant::now();
+    let mut peers = peers(now);
+    peers.note_status(addr(1), &status(50, true), now);
+    assert!(peers.is_doubtful(&addr(1), now, now + Duration::from_secs(2)));
+}
+
+#[test]
+fn a_slow_run_in_another_region_is_in_doubt_without_a_report_since_it_began() {
+    let now = Instant::now();
+    let mut peers = peers(now);
+    let began = now + Duration::from_millis(1);
+    peers.note_report(addr(30), status(50, true).report, now);
+    assert!(peers.is_doubtful(&addr(30), began, began));
+    peers.note_report(addr(30), status(50, true).report, began);
+    assert!(!peers.is_doubtful(&addr(30), began, began));
+}
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -43,11 +43,6 @@
         self.credit >= price(reason)
     }
 
-    /// Spends the price of a retry that was promised while it was covered, whatever is left.
-    pub fn spend_promised(&mut self, reason: RetryReason) {
-        self.credit = self.credit.saturating_sub(price(reason));
-    }
-
     /// Spends the price of a retry; false: nothing is spent.
     pub fn spend(&mut self, reason: RetryReason) -> bool {
         let covered = self.covers(reason);
