Expect unknown runs to take a part of the route's objective, not of what is left of it

Cause: the expected time of a route that this process has not seen was 0.3 of the objective that was LEFT: for a request past its objective it was 0, so it was overdue at once, counted as the server's failure and broken off. Change: orders say the route's objective; the part is taken of that. Before: a_late_request_does_not_make_a_server_suspect_that_has_just_been_met red; after: green.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -108,7 +108,7 @@
             age.map_or(-1, |age| age.as_millis() as i64)
         };
         let objective_left = self.order.objective_left;
-        let expected = self.node.answer_times.borrow().expected(self.order.route_hash, objective_left);
+        let expected = self.node.answer_times.borrow().expected(self.order.route_hash, self.order.objective);
         let patience = (expected * OVERDUE_FACTOR).max(objective_left);
         Facts { to, sent_at: now, overdue_at: now + patience, report_ms }
     }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -341,6 +341,7 @@
             nested: self.admitted.route.open,
             repetition: if self.repeatable { Repetition::Allowed } else { Repetition::Never },
             insist: self.insist,
+            objective: self.admitted.route.objective,
             objective_left: self.admitted.wanted_by.saturating_duration_since(now),
             deadline_left: self.node.waits_until(self.admitted.deadline).saturating_duration_since(now),
         }
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -288,7 +288,7 @@
             Err(_late) => return Err(Verdict::declined(Reason::Unreachable)),
         };
         let asked = Instant::now();
-        let expected = self.state.borrow().times.expected(order.route_hash, order.objective_left);
+        let expected = self.state.borrow().times.expected(order.route_hash, order.objective);
         let sent = Sent { order, run, conn, asked, expected, deadline };
         sent.finish(req).await
     }
@@ -353,7 +353,7 @@
             nested: order.nested,
             wanted_by: now + order.objective_left,
             deadline,
-            expected: state.times.expected(order.route_hash, order.objective_left),
+            expected: state.times.expected(order.route_hash, order.objective),
         };
         let needed = state.dispatch.wait_for(&work, now) + work.expected * SAFE_RUNS;
         if self.ends_at.get().is_some_and(|at| now + needed > at) {
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -39,6 +39,8 @@
     pub repetition: Repetition,
     /// Whether a suspect server shall run it all the same, for lack of another.
     pub insist: bool,
+    /// Latency objective of its route.
+    pub objective: Duration,
     /// Time left until its latency objective.
     pub objective_left: Duration,
     /// Time left until its deadline.
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -6,6 +6,7 @@
 
 use common::{Act, KEY, conf, eventually, fleet, on_one_thread, request, snapshot, status};
 use conf::{KeyHasher, Snapshot};
+use relay::handoff::{Order, Repetition};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -492,3 +493,36 @@
         drop(stream);
     });
 }
+
+/// An order of a request that is past its latency objective.
+fn late_order() -> Order {
+    Order {
+        service: common::SERVICE.into(),
+        customer: None,
+        caller_service: common::SERVICE.into(),
+        route_hash: 1,
+        rank: 0,
+        nested: false,
+        repetition: Repetition::Allowed,
+        insist: false,
+        objective: Duration::from_secs(1),
+        objective_left: Duration::ZERO,
+        deadline_left: Duration::from_secs(5),
+    }
+}
+
+#[test]
+fn a_late_request_does_not_make_a_server_suspect_that_has_just_been_met() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(200)]], conf).await;
+        let exit = &fleet.daemons[0].node.exit;
+        for _ in 0..4 {
+            let req = hyper::Request::get("/stock/a").header("host", "a").header("x-request-id", "r1");
+            let order = late_order();
+            let running = exit.run(&order, req.body(bytes::Bytes::new()).expect("a request"));
+            let early = tokio::time::timeout(Duration::from_millis(100), running).await;
+            assert!(early.is_err(), "the server needs longer");
+        }
+        assert!(!exit.report(Instant::now()).condition.is_suspect());
+    });
+}
