--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -39,6 +39,8 @@
     pub repetition: Repetition,
     /// Whether a suspect server shall run it all the same, for lack of another.
     pub insist: bool,
+    /// Latency objective of its route.
+    pub objective: Duration,
     /// Time left until its latency objective.
     pub objective_left: Duration,
     /// Time left until its deadline.
@@ -50,10 +52,8 @@
 pub enum Repetition {
     /// It may run once at most.
     Never,
-    /// It may run again, but no further try is promised.
+    /// It may run again.
     Allowed,
-    /// Another try will follow; a run that takes far longer than expected may be broken off.
-    Promised,
 }
 
 /// Why a request was declined. It has not run and will not.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::peers::{Hello, Incarnation, Listed, Peers, Status};
 use crate::refresh::Fetched;
 use crate::registration::Departure;
+use crate::times::RunTimes;
 
 /// Pause between two questions for tokens to other data centres.
 const REFILL_PAUSE: Duration = Duration::from_millis(200);
@@ -93,6 +94,8 @@
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) split: RefCell<Split>,
     pub(crate) answer_sizes: RefCell<AnswerSizes>,
+    /// Times from hand-off to answer, at all servers.
+    pub(crate) answer_times: RefCell<RunTimes>,
     /// When tokens of a customer were last asked for in another data centre.
     refills: RefCell<HashMap<CustomerId, Instant>>,
     /// Set once datagrams can be sent.
@@ -106,6 +109,8 @@
     /// Whether the rows of the other daemons were read once.
     pub(crate) has_directory: Cell<bool>,
     is_stopping: Cell<bool>,
+    /// When a stopping daemon answers by itself whatever still runs.
+    answer_by: Cell<Option<Instant>>,
     callers: Cell<usize>,
 }
 
@@ -137,6 +142,7 @@
             freshness: RefCell::default(),
             split: RefCell::new(Split::new(bounds.rate_tolerance)),
             answer_sizes: RefCell::default(),
+            answer_times: RefCell::default(),
             refills: RefCell::default(),
             gossip: RefCell::default(),
             budgets: RefCell::default(),
@@ -144,6 +150,7 @@
             kept_departures: RefCell::default(),
             has_directory: Cell::new(false),
             is_stopping: Cell::new(false),
+            answer_by: Cell::new(None),
             callers: Cell::new(0),
             bounds,
             me,
@@ -205,9 +212,15 @@
         self.is_stopping.get()
     }
 
-    /// Starts a graceful stop.
-    pub fn stop(&self) {
+    /// Until when the daemon can wait for an answer that is due by `deadline`.
+    pub(crate) fn waits_until(&self, deadline: Instant) -> Instant {
+        self.answer_by.get().map_or(deadline, |by| by.min(deadline))
+    }
+
+    /// Starts a graceful stop; what still runs at `answer_by` is answered by the daemon itself.
+    pub fn stop(&self, answer_by: Instant) {
         self.is_stopping.set(true);
+        self.answer_by.set(Some(answer_by));
         self.urgent.notify_one();
     }
 
@@ -255,19 +268,6 @@
         }
     }
 
-    /// Whether one more try at the service would be covered now.
-    pub(crate) fn covers_retry(&self, service: &str, reason: base::RetryReason) -> bool {
-        self.budgets.borrow().get(service).is_some_and(|b| b.covers(reason))
-    }
-
-    /// Spends the price of a try that was promised while it was covered.
-    pub(crate) fn spend_promised_retry(&self, service: &str, reason: base::RetryReason) {
-        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
-            budget.spend_promised(reason);
-            self.metrics.retries.with_label_values(&[reason.code()]).inc();
-        }
-    }
-
     /// Whether one more try at the service is covered; spends its price.
     pub(crate) fn spend_retry(&self, service: &str, reason: base::RetryReason) -> bool {
         let mut budgets = self.budgets.borrow_mut();
@@ -281,8 +281,7 @@
     /// State for the daemon at `to`.
     pub fn status(&self, to: &DaemonId) -> Status {
         let now = Instant::now();
-        let mut report = self.exit.report(now);
-        report.takes_work &= !self.is_stopping.get();
+        let report = self.exit.report(now);
         let peers = self.peers.borrow();
         Status {
             incarnation: self.me.incarnation,
