Never call a request not run that a server has failed

Found by the review: after a server's own failure a later decline reset the note that the request had reached a server, so that a daemon that ended just then told its caller 503 'not run'. Only requests that may be repeated were affected. By reading; no test.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -128,7 +128,8 @@
     fn take_in(&mut self, facts: Facts, outcome: Outcome, others: usize) -> ControlFlow<Done, bool> {
         let to = facts.to;
         let is_declined = matches!(outcome, Outcome::Verdict(Verdict::Declined { .. }));
-        self.is_sent.set(!is_declined || others > 0 || self.unknown.is_some());
+        let has_run = self.unknown.is_some() || self.fallback.is_some();
+        self.is_sent.set(!is_declined || others > 0 || has_run);
         self.slow.take_if(|slow| *slow == to);
         let reason = match outcome {
             Outcome::Answer(rep) if !rep.status().is_server_error() || !self.repeatable => {
