--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -39,12 +39,12 @@
     pub repetition: Repetition,
     /// Whether a suspect server shall run it all the same, for lack of another.
     pub insist: bool,
-    /// Latency objective of its route.
-    pub objective: Duration,
     /// Time left until its latency objective.
     pub objective_left: Duration,
     /// Time left until its deadline.
     pub deadline_left: Duration,
+    /// Latency objective of its route. New fields come last: daemons of an older version don't read them.
+    pub objective: Duration,
 }
 
 /// Whether a request may run more than once.
