Estimate the wait for a slot only while stopping, and look at an answer's state without a copy

Found by reading the whole change again: each request offered to a server walked its queue for an estimate that only a stopping daemon uses, and each look at a closing connection copied its last answer. Behaviour is unchanged.

--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -61,16 +61,21 @@
 
     /// The last answer, if it was not sent whole, with how it stood.
     pub fn cut(&self) -> Option<(LastAnswer, Cut)> {
-        let answer = self.last.borrow().clone()?;
-        if !self.is_body_whole.get() {
-            return Some((answer, Cut::Body));
-        }
-        self.has_unsent.get().then_some((answer, Cut::Unsent))
+        let cut = self.missing()?;
+        self.last.borrow().clone().map(|answer| (answer, cut))
     }
 
     /// Whether all answers so far have been written to the socket.
     pub fn is_sent(&self) -> bool {
-        self.cut().is_none()
+        self.last.borrow().is_none() || self.missing().is_none()
+    }
+
+    /// What is missing of the last answer.
+    fn missing(&self) -> Option<Cut> {
+        if !self.is_body_whole.get() {
+            return Some(Cut::Body);
+        }
+        self.has_unsent.get().then_some(Cut::Unsent)
     }
 
     /// When the last bytes were written to the socket; none if there were no answers.
--- a/crates/relay/src/exit.rs
+++ b/crates/relay/src/exit.rs
@@ -355,8 +355,8 @@
             deadline,
             expected: state.times.expected(order.route_hash, order.objective),
         };
-        let needed = state.dispatch.wait_for(&work, now) + work.expected * SAFE_RUNS;
-        if self.ends_at.get().is_some_and(|at| now + needed > at) {
+        let needed = || state.dispatch.wait_for(&work, now) + work.expected * SAFE_RUNS;
+        if self.ends_at.get().is_some_and(|at| now + needed() > at) {
             return Err(Verdict::declined(Reason::Stopping));
         }
         let (ticket, granted) = match state.dispatch.offer(work, now) {
