Skip odd rows of the store, and bound times that servers state

A row with port 0, an unspecified address, the address of another row, or a start in the far future was taken for a daemon, which counts in the division of rates and can hide later processes on the address. A Keep-Alive timeout near 2^64 s, and a cold time of that size, overflowed an Instant: the panic ended the caller's connection without an answer. A grant of tokens that is no number stayed in the bucket for ever. Change: such rows are skipped, each with one line E0304 that names it; stated times have an upper bound; grants have to be finite. Ruled out: deep nesting and numbers out of range, which serde_json refuses.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -39,6 +39,7 @@
     301 StoreUp "The store answers again.";
     302 StoreDown "The store does not answer.";
     303 StoreAmbiguous "The answer of a write was lost; its effect is being resolved.";
+    304 RowRefused "A row of the store describes nothing that can be used.";
     401 ConfigApplied "A new configuration version is in force in this daemon.";
     402 ConfigRefused "A configuration was refused by validation.";
     403 ConfigConflict "Two operators changed the configuration at the same time.";
--- a/crates/limit/src/local_buckets.rs
+++ b/crates/limit/src/local_buckets.rs
@@ -207,7 +207,7 @@
 
     /// Adds tokens that another daemon sent; those beyond the capacity are dropped.
     pub fn receive_tokens(&mut self, customer: &str, tokens: f64, now: Instant) {
-        let Some(bucket) = self.buckets.get_mut(customer) else {
+        let Some(bucket) = self.buckets.get_mut(customer).filter(|_| tokens.is_finite()) else {
             return;
         };
         bucket.refill(now);
--- a/crates/limit/tests/local_buckets.rs
+++ b/crates/limit/tests/local_buckets.rs
@@ -237,3 +237,13 @@
     buckets.set_daemon_counts(DAEMONS, DAEMONS_PER_CENTRE, Some(&conf(0.0)), now);
     assert_eq!(buckets.take_token("parish", now), TakeOutcome::Taken);
 }
+
+#[test]
+fn a_grant_that_is_no_number_changes_nothing() {
+    let now = Instant::now();
+    let mut fleet = fleet(RATE, now);
+    fleet[0].receive_tokens("parish", f64::NAN, now);
+    fleet[0].receive_tokens("parish", f64::INFINITY, now);
+    let granted = fleet[0].give_tokens("parish", TransferAmount::Half, now);
+    assert!(granted.is_finite(), "{granted}");
+}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -4,9 +4,10 @@
 //! acknowledged, so that a later process of the daemon knows them.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use base::event;
+use base::{DaemonId, event};
+use derive_more::{Display, Error, From};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use store::{Commit, StoreError, Table, Write};
@@ -14,7 +15,7 @@
 
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
-use crate::peers::{PeerInfo, RemovedPeer};
+use crate::peers::{Incarnation, PeerInfo, RemovedPeer};
 use crate::registration::Departure;
 
 /// Prefix of the rows' keys; the daemon's address follows.
@@ -44,6 +45,32 @@
 /// Longest time for which the acknowledgement of a departure waits for the store.
 const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How far the start of a daemon may lie in the future, by this instance's wall clock. Wall clocks of instances
+/// differ by seconds; a row with a later start would hide all processes to come on its address.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(1);
+
+/// Why a row of the directory describes no daemon.
+#[derive(Debug, Display, Error, From)]
+enum RowError {
+    /// The row is not JSON of the expected form.
+    #[display("it can't be decoded: {_0}; delete the row")]
+    Decode(serde_json::Error),
+    /// The row is kept under the key of another address.
+    #[display("it names {_0}; delete the row")]
+    #[from(ignore)]
+    OtherAddress(#[error(not(source))] DaemonId),
+    /// No daemon can listen on the address.
+    #[display("no daemon can have the address {_0}; delete the row")]
+    #[from(ignore)]
+    InvalidAddress(#[error(not(source))] DaemonId),
+    /// The daemon would have started in the future.
+    #[display(
+        "its daemon starts at {_0} ms of Unix time, in the future; correct the clock or delete the row"
+    )]
+    #[from(ignore)]
+    FutureStart(#[error(not(source))] Incarnation),
+}
+
 /// Content of a daemon's row.
 #[derive(Debug, Serialize, Deserialize)]
 struct DirectoryRow {
@@ -206,10 +233,12 @@
 async fn read_rows(node: &Node, table: &dyn Table) -> Result<DirectoryScan, StoreError> {
     let rows = table.range(KEY_PREFIX).await?;
     let now = Instant::now();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let latest_start = (since_epoch + MAX_CLOCK_DIFFERENCE).as_millis() as Incarnation;
     let own = node.peer_info();
     let mut found = DirectoryScan { new_peers: Vec::new(), has_own_row: false };
     for (key, row) in rows {
-        match serde_json::from_str::<DirectoryRow>(&row.value) {
+        match decode_row(&key, &row.value, latest_start) {
             Ok(DirectoryRow { peer_info, departures }) if peer_info.addr == own.addr => {
                 found.has_own_row = peer_info.place == own.place && peer_info.service == own.service;
                 if !node.has_read_directory.get() {
@@ -222,7 +251,7 @@
                     found.new_peers.push(peer_info);
                 }
             }
-            Err(e) => log::warn!("row {key} of the directory can't be decoded: {e}"),
+            Err(e) => event!(Warn, RowRefused, "key={key:?} error={e}"),
         }
     }
     node.has_read_directory.set(true);
@@ -232,3 +261,19 @@
     node.refresh_wanted.notify_one();
     Ok(found)
 }
+
+/// Decodes the row under `key`. The daemon that it describes must not have started after `latest_start`.
+fn decode_row(key: &str, value: &str, latest_start: Incarnation) -> Result<DirectoryRow, RowError> {
+    let row: DirectoryRow = serde_json::from_str(value)?;
+    let PeerInfo { addr, incarnation, .. } = row.peer_info;
+    if key != format!("{KEY_PREFIX}{addr}") {
+        return Err(RowError::OtherAddress(addr));
+    }
+    if addr.port() == 0 || addr.ip().is_unspecified() || addr.ip().is_multicast() {
+        return Err(RowError::InvalidAddress(addr));
+    }
+    if incarnation > latest_start {
+        return Err(RowError::FutureStart(incarnation));
+    }
+    Ok(row)
+}
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -18,6 +18,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is not reused if the server states no idle timeout.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(4);
+/// Longest idle time after which a connection is reused, whatever idle timeout the server states.
+const MAX_IDLE: Duration = Duration::from_mins(5);
 /// Time before the end of the idle timeout that the server states, from which a connection is not reused.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -76,6 +78,7 @@
             return;
         }
         let max_idle = keep_alive.map_or(DEFAULT_MAX_IDLE, |t| t.saturating_sub(IDLE_TIMEOUT_MARGIN));
+        let max_idle = max_idle.min(MAX_IDLE);
         conn.last_used_at = now;
         conn.idle_until = now + max_idle;
         self.idle.borrow_mut().push(conn);
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -19,6 +19,9 @@
 /// a time.
 const MAX_STORED_DEPARTURES: usize = 4;
 
+/// Longest time for which a server can be slow after its start, whatever its heartbeats say.
+const MAX_COLD_TIME: Duration = Duration::from_mins(10);
+
 /// One heartbeat of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -93,7 +96,7 @@
             return HeartbeatOutcome::Outdated;
         }
         heartbeat.draining |= self.restored.iter().any(|d| d.covers(&heartbeat));
-        let cold_until = now + heartbeat.cold_for;
+        let cold_until = now + heartbeat.cold_for.min(MAX_COLD_TIME);
         let Some(known) = &self.server else {
             self.server = Some(RegisteredServer { heartbeat, cold_until });
             return HeartbeatOutcome::Registered;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -65,6 +65,8 @@
     WrongIdShed,
     /// Answers without a signature.
     Unsigned,
+    /// Answers correctly, and states the longest idle timeout that the header can express.
+    EndlessKeepAlive,
     /// Answers after this many milliseconds.
     After(u64),
     /// Answers with a body of this many bytes after this many milliseconds.
@@ -167,6 +169,10 @@
             Act::Unsigned => {
                 rep.headers_mut().remove("x-server-signature");
             }
+            Act::EndlessKeepAlive => {
+                let timeout = format!("timeout={}", u64::MAX);
+                rep.headers_mut().insert("keep-alive", timeout.parse().expect("a header value"));
+            }
             Act::After(ms) => sleep(Duration::from_millis(ms)).await,
             Act::Large(bytes, ms) => {
                 *rep.body_mut() = Full::new(large_body(bytes));
@@ -202,6 +208,16 @@
 pub struct Rows(Mutex<MemStore>);
 
 impl Rows {
+    /// Rows that another writer has left.
+    pub fn with(rows: &[(&str, &str)]) -> Self {
+        let left = Self::default();
+        for (key, value) in rows {
+            let commit = Commit { checks: Vec::new(), writes: vec![store::Write::put(key, value)] };
+            left.apply(&StoreOp::Commit(commit)).expect("the row is written");
+        }
+        left
+    }
+
     fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).apply(op)
     }
@@ -304,12 +320,21 @@
 
 /// Starts a fleet as [`fleet`] does, for servers that are running already.
 pub async fn fleet_of(backends: Vec<Rc<Backend>>, make_snapshot: fn(&KeyHasher) -> Snapshot) -> Fleet {
+    fleet_with_rows(backends, make_snapshot, Rows::default()).await
+}
+
+/// Starts a fleet as [`fleet_of`] does, in whose store there are `rows` already.
+pub async fn fleet_with_rows(
+    backends: Vec<Rc<Backend>>,
+    make_snapshot: fn(&KeyHasher) -> Snapshot,
+    rows: Rows,
+) -> Fleet {
     let source = Rc::new(Source {
         make_snapshot: Cell::new(make_snapshot),
         is_up: Cell::new(true),
         partitioned: Cell::new(None),
     });
-    let rows = Rc::new(Rows::default());
+    let rows = Rc::new(rows);
     let mut daemons = Vec::new();
     for (n, backend) in backends.into_iter().enumerate() {
         let sockets = bind_sockets().await;
--- a/crates/relay/tests/registration.rs
+++ b/crates/relay/tests/registration.rs
@@ -115,3 +115,9 @@
     registration.apply_heartbeat(heartbeat(2, 1), Instant::now());
     assert!(serves(&registration));
 }
+
+#[test]
+fn a_server_that_is_cold_for_ever_is_registered() {
+    let cold = Heartbeat { cold_for: Duration::MAX, ..heartbeat(1, 1) };
+    assert!(serves(&registered([cold])));
+}
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -106,6 +106,17 @@
     });
 }
 
+#[test]
+fn an_endless_idle_timeout_of_the_server_does_not_end_its_callers_connection() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::EndlessKeepAlive]], conf).await;
+        for n in 0..2 {
+            let rep = fleet.daemons[0].post("/order/a", &format!("r{n}")).await;
+            assert_eq!(status(&rep), 200, "{rep}");
+        }
+    });
+}
+
 #[test]
 fn a_shed_unrepeatable_request_runs_at_another_server() {
     on_one_thread(async {
