End pipelined work soon after its caller has left

Change: the connection's task keeps a second handle of the socket and looks every 200 ms whether it is closed, only while a request has been started early. A caller that pipelines and closes only its sending side is treated as gone, as hyper treats one that does not pipeline. Ruled out: a duplicate of the descriptor, which needs one more for each caller.

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -140,33 +140,33 @@
 
 /// A caller's stream that detects ambiguous request heads.
 #[derive(Debug)]
-pub struct InspectedStream {
-    stream: TcpStream,
+pub struct InspectedStream<S = TcpStream> {
+    stream: S,
     framing: FramingCheck,
     ambiguous: Arc<AtomicBool>,
 }
 
 /// An [`InspectedStream`] that also hands each complete head to an observer as soon as it arrives.
 #[derive(derive_more::Debug)]
-pub struct ObservedStream {
-    inner: InspectedStream,
+pub struct ObservedStream<S = TcpStream> {
+    inner: InspectedStream<S>,
     #[debug(skip)]
     on_head: OnHead,
 }
 
-impl ObservedStream {
+impl<S> ObservedStream<S> {
     /// Wraps `stream`; sets `ambiguous` before the bytes of an ambiguous head are passed on.
-    pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>, on_head: OnHead) -> Self {
+    pub fn new(stream: S, ambiguous: Arc<AtomicBool>, on_head: OnHead) -> Self {
         Self { inner: InspectedStream::new(stream, ambiguous), on_head }
     }
 
     /// The bare stream, without inspection and observer.
-    pub fn into_inner(self) -> TcpStream {
+    pub fn into_inner(self) -> S {
         self.inner.stream
     }
 }
 
-impl AsyncRead for ObservedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for ObservedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -177,7 +177,7 @@
     }
 }
 
-impl AsyncWrite for ObservedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for ObservedStream<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.inner.stream).poll_write(cx, buf)
     }
@@ -203,12 +203,14 @@
     }
 }
 
-impl InspectedStream {
+impl<S> InspectedStream<S> {
     /// Wraps `stream`; sets `ambiguous` before the bytes of an ambiguous head are passed on.
-    pub fn new(stream: TcpStream, ambiguous: Arc<AtomicBool>) -> Self {
+    pub fn new(stream: S, ambiguous: Arc<AtomicBool>) -> Self {
         Self { stream, framing: FramingCheck::default(), ambiguous }
     }
+}
 
+impl<S: AsyncRead + Unpin> InspectedStream<S> {
     fn poll_inspected(
         &mut self,
         cx: &mut Context<'_>,
@@ -225,7 +227,7 @@
     }
 }
 
-impl AsyncRead for InspectedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for InspectedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -235,7 +237,7 @@
     }
 }
 
-impl AsyncWrite for InspectedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for InspectedStream<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
--- a/crates/relay/src/closing.rs
+++ b/crates/relay/src/closing.rs
@@ -4,16 +4,18 @@
 
 use base::event;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::delivery::Delivery;
 use crate::pipeline::Pipeline;
+use crate::shared_stream::SharedStream;
 
 /// Interval of checks whether a connection that should be closed is idle.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of checks whether a caller with pipelined requests has left.
+const LEFT_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after the last byte of an answer for which a stopping daemon waits for the caller to close the
 /// connection.
 const LINGER_WAIT: Duration = Duration::from_millis(500);
@@ -40,6 +42,18 @@
     }
 }
 
+/// Waits until the caller has left while requests that it pipelined have been started early, which hyper does
+/// not notice.
+pub async fn wait_until_left(socket: &SharedStream, pipeline: &Pipeline) {
+    loop {
+        pipeline.wait_until_started().await;
+        sleep(LEFT_POLL_INTERVAL).await;
+        if pipeline.has_started() && socket.is_closed_by_peer() {
+            return;
+        }
+    }
+}
+
 /// Half-closes a connection and discards what its caller still sends, if part of an answer may not have
 /// arrived yet.
 ///
@@ -48,7 +62,7 @@
 /// `MAX_LINGER`. This function returns earlier, at the latest `LINGER_WAIT` after the last byte of the answer
 /// was written. If no answer can be lost, nothing is read: a caller whose request crosses the close then sees
 /// a reset, and may send the request again.
-pub async fn close_lingering(mut stream: TcpStream, delivery: &Delivery) {
+pub async fn close_lingering(mut stream: SharedStream, delivery: &Delivery) {
     let now = Instant::now();
     let Some(written_at) = delivery.last_written_at().filter(|at| now < *at + DELIVERY_TIME) else { return };
     if let Err(e) = stream.shutdown().await {
@@ -61,7 +75,7 @@
     }
 }
 
-async fn discard_input(mut stream: TcpStream, until: Instant) {
+async fn discard_input(mut stream: SharedStream, until: Instant) {
     let mut discarded = 0;
     let mut buf = [0; DISCARD_BUFFER_BYTES];
     while let Ok(read) = timeout_at(until.into(), stream.read(&mut buf)).await {
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -18,10 +18,11 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
-use crate::closing::{close_lingering, wait_until_closable};
+use crate::closing::{close_lingering, wait_until_closable, wait_until_left};
 use crate::delivery::{Delivery, LastAnswer, TrackedBody, TrackedStream};
 use crate::node::Node;
 use crate::pipeline::Pipeline;
+use crate::shared_stream::SharedStream;
 
 /// Smallest head size limit that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
@@ -84,6 +85,8 @@
     });
     let head_pipeline = Rc::clone(&pipeline);
     let on_head = Box::new(move |head: &[u8], length| head_pipeline.on_head(head, length));
+    let stream = SharedStream::new(stream);
+    let socket = stream.clone();
     let stream = ObservedStream::new(stream, Arc::clone(&is_ambiguous), on_head);
     let io = TokioIo::new(TrackedStream::new(stream, Rc::clone(&delivery)));
     let mut conn = builder.serve_connection(io, service);
@@ -104,8 +107,10 @@
                 }
                 Pin::new(&mut conn).graceful_shutdown();
             }
+            () = wait_until_left(&socket, &pipeline) => break,
         }
     }
+    drop(socket);
     let stream = conn.into_parts().io.into_inner().into_inner().into_inner();
     close_lingering(stream, &delivery).await;
 }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -15,6 +15,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, Uri};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::body::Body;
@@ -58,6 +59,8 @@
     queue: RefCell<VecDeque<QueuedRequest>>,
     /// Whether any request has arrived on the connection.
     has_received: Cell<bool>,
+    /// Notified when a request is started early.
+    started: Notify,
     /// Number of requests that hyper has read and that are not answered yet.
     unanswered: Cell<usize>,
     /// Whether the connection will close after the answer to the current request.
@@ -71,6 +74,7 @@
             node,
             queue: RefCell::default(),
             has_received: Cell::new(false),
+            started: Notify::new(),
             unanswered: Cell::new(0),
             is_last: Cell::new(false),
         }
@@ -102,6 +106,13 @@
         self.queue.borrow().iter().any(|queued| matches!(queued, QueuedRequest::Started(_)))
     }
 
+    /// Waits until a request behind the current one has been started early.
+    pub async fn wait_until_started(&self) {
+        while !self.has_started() {
+            self.started.notified().await;
+        }
+    }
+
     /// Whether any request has arrived on the connection.
     pub fn has_received(&self) -> bool {
         self.has_received.get()
@@ -139,6 +150,7 @@
         let id = parts.headers.get(&self.node.header_names.request_id).cloned();
         let req = Request::from_parts(parts, Empty::<Bytes>::new());
         let task = tokio::task::spawn_local(ingress::serve_request(Rc::clone(&self.node), req));
+        self.started.notify_one();
         Some(EarlyRequest { method, uri, id, task })
     }
 
