Send digests of servers between data centres in place of status messages of pairs

In the own region the partners' reports were 0.4 to 0.6 s old at the median, and cost bytes for each pair. Change: the two lowest-ranked daemons of a data centre send a digest of a few healthy servers of each service to one random daemon of every other data centre, which passes it on to its neighbours. Silent daemons and the version of the configuration travel with the digest. Partners and their status messages are gone.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,9 +20,11 @@
 use tokio::time::timeout_at;
 
 use crate::body::{Body, MAX_BUFFERED_BYTES, buffer_body};
+use crate::digest::RelayedReport;
 use crate::exchange::OVERDUE_FACTOR;
 use crate::handoff::{
-    self, DeclineReason, HANDOFF_HEADER, Handoff, REPORT_HEADER, RUN_ERROR_HEADER, RunError, ServerReport,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, REPORT_HEADER, RUN_ERROR_HEADER,
+    RunError, ServerReport,
 };
 use crate::links::LinkError;
 use crate::node::Node;
@@ -144,7 +146,7 @@
         let Some(req) = self.link_request() else {
             return AttemptOutcome::Failed(RunError::declined(DeclineReason::Unreachable));
         };
-        self.node.peers.borrow_mut().record_handoff(to);
+        self.node.peers.borrow_mut().record_handoff(to, Instant::now());
         match self.node.links.send_request(to, req).await {
             Ok(rep) => self.handle_response(rep).await,
             Err(e) => {
@@ -176,6 +178,11 @@
         if let Some(report) = handoff::take_header::<ServerReport>(&mut parts.headers, &REPORT_HEADER) {
             self.node.peers.borrow_mut().record_report(self.to, report, Instant::now());
         }
+        if let Some(servers) =
+            handoff::take_header::<Vec<RelayedReport>>(&mut parts.headers, &ALTERNATIVES_HEADER)
+        {
+            self.node.peers.borrow_mut().apply_relayed_reports(&servers, Instant::now());
+        }
         if let Some(error) = handoff::take_header(&mut parts.headers, &RUN_ERROR_HEADER) {
             return AttemptOutcome::Failed(error);
         }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -344,6 +344,7 @@
             load: report.load(0),
             condition: report.condition,
             reachable: true,
+            is_known: true,
         });
         addrs.push(me);
     }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -12,10 +12,9 @@
 use tokio_util::task::TaskTracker;
 
 use crate::config_refresh::ConfigSource;
+use crate::datagram::RemovedPeer;
 use crate::gossip::Gossip;
-use crate::local_server::ReportChange;
 use crate::node::Node;
-use crate::peers::RemovedPeer;
 use crate::{config_refresh, directory, gossip, links, listen};
 
 /// Time after the stop signal in which the daemon still serves new requests, so that callers can be directed
@@ -93,6 +92,7 @@
     spawn_local(listen::accept_callers(Rc::clone(&node), sockets.callers, callers, closing.clone()));
     spawn_local(gossip::receive_datagrams(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_statuses(Rc::clone(&node), Rc::clone(&gossip)));
+    spawn_local(gossip::send_digests(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::return_spare_tokens(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(config_refresh::refresh_config(Rc::clone(&node), source));
     spawn_local(directory::maintain_directory(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
@@ -106,10 +106,8 @@
 /// Sends the status at once whenever the local server's state changes.
 async fn publish_changes(node: Rc<Node>) {
     loop {
-        match node.local_server.next_change().await {
-            ReportChange::Membership => node.status_urgent.notify_one(),
-            ReportChange::Health => node.status_changed.notify_one(),
-        }
+        node.local_server.next_change().await;
+        node.status_changed.notify_one();
     }
 }
 
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -13,9 +13,9 @@
 use store::{Commit, StoreError, Table, Write};
 use tokio::time::{sleep, timeout};
 
+use crate::datagram::{Incarnation, PeerInfo, RemovedPeer};
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
-use crate::peers::{Incarnation, PeerInfo, RemovedPeer};
 use crate::registration::Departure;
 
 /// Prefix of the rows' keys; the daemon's address follows.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Datagrams between daemons: status messages, introductions, and transfers of customers' tokens.
+//! Datagrams between daemons: status messages, digests, introductions, and transfers of customers' tokens.
 //!
 //! Each daemon has a share of every customer's rate and takes tokens from it. Tokens that it doesn't need go
 //! to a pool, kept by one daemon of the data centre for each group of customers, from which daemons that run
@@ -13,16 +13,21 @@
 use limit::TransferAmount;
 use rand::Rng;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::BootTime;
+use crate::datagram::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
+use crate::digest::Digest;
 use crate::node::Node;
-use crate::peers::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
 
-/// Number of status intervals of this data centre between two status messages to a partner in another one.
-const TICKS_PER_PARTNER_STATUS: u32 = 3;
+/// Interval at which one daemon sends digests to the other data centres.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Number of lowest-ranked daemons of a data centre that send digests, so that one of them may be cut off.
+const DIGEST_SENDERS: usize = 2;
 /// Shortest time between two rounds of status messages, however often a status becomes urgent.
 const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(40);
+/// Assumed time in milliseconds that a digest takes from one data centre to another.
+const DIGEST_TRANSIT_MS: u16 = 20;
 /// Largest datagram that is received, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Mean interval at which spare tokens go to the pools.
@@ -54,59 +59,47 @@
     }
 }
 
-/// Sends the status to the data centre at each interval, and to partners in other data centres at each
-/// `TICKS_PER_PARTNER_STATUS`th one. [`Node::status_urgent`] and [`Node::status_changed`] cause a status at
-/// once.
+/// Sends the status to the data centre at each interval, and at once when [`Node::status_changed`] is notified.
 pub async fn send_statuses(node: Rc<Node>, gossip: Rc<Gossip>) {
-    let mut tick = 0_u32;
     loop {
         let interval = node.peers.borrow().status_interval();
         let wait = interval.mul_f64(rand::rng().random_range(0.9..1.1));
-        let to_partners = tokio::select! {
-            () = node.status_urgent.notified() => true,
-            () = node.status_changed.notified() => false,
-            () = sleep(wait) => {
-                tick += 1;
-                tick.is_multiple_of(TICKS_PER_PARTNER_STATUS)
-            }
-        };
-        send_to_centre(&node, &gossip);
-        if to_partners {
-            send_to_partners(&node, &gossip);
-        }
+        // A timeout is the usual case.
+        let _changed = timeout(wait, node.status_changed.notified()).await;
+        broadcast_status(&node, &gossip);
         sleep(MIN_STATUS_INTERVAL).await;
     }
 }
 
-/// Addresses of the other daemons of this data centre.
-fn centre_addrs(node: &Node) -> Vec<DaemonId> {
-    node.peers.borrow().peers_in_centre().map(|p| p.addr).collect()
-}
-
-fn send_to_centre(node: &Node, gossip: &Gossip) {
-    let addrs = centre_addrs(node);
-    for to in addrs {
-        gossip.send_datagram(to, &Datagram::Status(node.status(&to)));
+/// Sends digests of this data centre's servers to the other data centres, if this daemon's rank is low enough.
+pub async fn send_digests(node: Rc<Node>, gossip: Rc<Gossip>) {
+    loop {
+        sleep(DIGEST_INTERVAL.mul_f64(rand::rng().random_range(0.9..1.1))).await;
+        let now = Instant::now();
+        if node.peers.borrow().rank_in_centre(now) >= DIGEST_SENDERS {
+            continue;
+        }
+        let message = Datagram::Digest { origin: node.identity.addr, digest: node.digest(now) };
+        let targets = node.peers.borrow().daemon_of_each_centre(&mut rand::rng());
+        for to in targets {
+            gossip.send_datagram(to, &message);
+        }
     }
 }
 
-fn send_to_partners(node: &Node, gossip: &Gossip) {
-    let addrs = node.peers.borrow().partners(&node.service());
-    for to in addrs {
-        gossip.send_datagram(to, &Datagram::Status(node.status(&to)));
-    }
+/// Addresses of the other daemons of this data centre.
+fn centre_addrs(node: &Node) -> Vec<DaemonId> {
+    node.peers.borrow().peers_in_centre().map(|p| p.addr).collect()
 }
 
-/// Introduces this daemon to the daemons of its data centre and the partners from which no recent status has
-/// come. With `is_first` also to a few daemons of each other data centre, which pass the introduction on
-/// there.
+/// Introduces this daemon to the daemons of its data centre from which no recent status has come. With
+/// `is_first` also to a few daemons of each other data centre, which pass the introduction on there.
 pub fn send_introductions(node: &Node, gossip: &Gossip, is_first: bool) {
     let now = Instant::now();
     let (near, far) = {
         let peers = node.peers.borrow();
-        let mut near = peers.partners(&node.service());
-        near.extend(peers.peers_in_centre().map(|p| p.addr));
-        near.retain(|addr| !peers.has_recent_status(addr, now));
+        let near = peers.peers_in_centre().map(|p| p.addr);
+        let near: Vec<DaemonId> = near.filter(|addr| !peers.has_recent_status(addr, now)).collect();
         (near, peers.remote_contacts())
     };
     for to in near {
@@ -119,10 +112,11 @@
     }
 }
 
-/// Sends this daemon's status at once to all daemons that receive it regularly.
+/// Sends this daemon's status to the other daemons of its data centre.
 pub fn broadcast_status(node: &Node, gossip: &Gossip) {
-    send_to_centre(node, gossip);
-    send_to_partners(node, gossip);
+    for to in centre_addrs(node) {
+        gossip.send_datagram(to, &Datagram::Status(node.status(&to)));
+    }
 }
 
 /// Receives datagrams and handles each.
@@ -155,6 +149,7 @@
                 gossip.send_datagram(from, &Datagram::Hello(node.hello(&from, true, false)));
             }
         }
+        Datagram::Digest { origin, digest } => handle_digest(node, gossip, from, origin, digest, now),
         Datagram::Peer(peer_info) => handle_peer_info(node, &peer_info, now),
         Datagram::Removed(removed) => handle_removal(node, gossip, removed),
         Datagram::TokenRequest(customer, amount) => {
@@ -173,6 +168,35 @@
     }
 }
 
+/// Applies a digest of another data centre, and passes it on to this one if it came from `origin` itself.
+fn handle_digest(
+    node: &Node,
+    gossip: &Gossip,
+    from: DaemonId,
+    origin: DaemonId,
+    mut digest: Digest,
+    now: Instant,
+) {
+    if !node.peers.borrow_mut().apply_digest(&origin, &digest, now) {
+        return;
+    }
+    node.update_rate_shares();
+    if digest.version > node.conf_version() {
+        node.refresh_wanted.notify_one();
+    }
+    if from != origin {
+        return;
+    }
+    // The daemons that receive it now learn at least the time that it took to get here.
+    for server in &mut digest.servers {
+        server.age_ms = server.age_ms.saturating_add(DIGEST_TRANSIT_MS);
+    }
+    let message = Datagram::Digest { origin, digest };
+    for to in centre_addrs(node) {
+        gossip.send_datagram(to, &message);
+    }
+}
+
 fn handle_hello(node: &Rc<Node>, gossip: &Gossip, from: SocketAddr, hello: Hello, now: Instant) {
     let (wants_answer, forward) = (hello.wants_answer, hello.forward);
     let (peer_info, status) = (hello.peer_info.clone(), hello.status.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`handoff`]). There the request waits for a slot and runs ([`local_server`], [`slot`], [`pool`]).
 //!
 //! Daemons find each other through rows of the store ([`directory`]) and exchange their status over UDP
-//! ([`gossip`], [`peers`]). [`config_refresh`] and [`freshness`] keep the configuration current and track how
+//! ([`gossip`], [`peers`]), and digests of it between data centres ([`digest`]). [`config_refresh`] and [`freshness`] keep the configuration current and track how
 //! recently it was proven to be the newest one. All state of a daemon is a [`node::Node`], which lives on a
 //! single thread.
 //!
@@ -35,7 +35,9 @@
 mod closing;
 pub mod config_refresh;
 pub mod daemon;
+pub mod datagram;
 pub mod delivery;
+pub mod digest;
 pub mod directory;
 mod exchange;
 mod exec;
@@ -50,6 +52,7 @@
 pub mod log_writer;
 pub mod metrics;
 pub mod node;
+mod peer;
 pub mod peers;
 pub mod pipeline;
 pub mod pool;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::DaemonId;
+use base::{DaemonId, ServiceId};
 use bytes::Bytes;
 use derive_more::Debug;
 use http_body_util::Full;
@@ -25,7 +25,8 @@
 use crate::body::{Body, buffer_body};
 use crate::exec::LocalExec;
 use crate::handoff::{
-    self, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER, RUN_ERROR_HEADER, RunError,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
+    RUN_ERROR_HEADER, RunError,
 };
 use crate::node::Node;
 use crate::socket;
@@ -229,27 +230,49 @@
     if !req.headers().contains_key(&HANDOFF_HEADER) && req.uri().path() == CONFIG_PATH {
         return config_response(&node);
     }
-    let result = run_handoff(&node, req).await;
-    let mut rep = result.unwrap_or_else(|error| {
+    let mut rep = match run_handoff(&node, req).await {
+        Ok(rep) => rep,
+        Err(failed) => failed.into_response(&node),
+    };
+    handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &node.local_server.report(Instant::now()));
+    rep
+}
+
+/// A request of another daemon that has no answer.
+#[derive(Debug)]
+struct FailedHandoff {
+    error: RunError,
+    /// Service that the request was for, if known.
+    service: Option<ServiceId>,
+}
+
+impl FailedHandoff {
+    /// Response that tells the error and, if the request was declined, which servers may take it.
+    fn into_response(self, node: &Node) -> Response<Body> {
         let mut rep = Response::new(Body::whole(""));
         *rep.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        handoff::insert_header(rep.headers_mut(), &RUN_ERROR_HEADER, &error);
+        handoff::insert_header(rep.headers_mut(), &RUN_ERROR_HEADER, &self.error);
+        if let (RunError::Declined { .. }, Some(service)) = (self.error, self.service) {
+            let servers = node.peers.borrow().alternatives(&service, Instant::now(), &mut rand::rng());
+            handoff::insert_header(rep.headers_mut(), &ALTERNATIVES_HEADER, &servers);
+        }
         rep
-    });
-    handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &node.local_server.report(Instant::now()));
-    rep
+    }
 }
 
-async fn run_handoff(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, RunError> {
+async fn run_handoff(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, FailedHandoff> {
     let (mut parts, body) = req.into_parts();
-    let handoff: Option<Handoff> = handoff::take_header(&mut parts.headers, &HANDOFF_HEADER);
-    let handoff = handoff.ok_or(RunError::declined(DeclineReason::OtherService))?;
+    let Some(handoff) = handoff::take_header::<Handoff>(&mut parts.headers, &HANDOFF_HEADER) else {
+        return Err(FailedHandoff { error: RunError::declined(DeclineReason::OtherService), service: None });
+    };
     let max_bytes = node.conf().map(|c| c.limits).unwrap_or_default().max_body_bytes;
-    let body = buffer_body(body, max_bytes)
-        .await
-        .map_err(|_broken| RunError::declined(DeclineReason::Unreachable))?;
-    restore_host(&mut parts);
-    node.local_server.run_request(&handoff, Request::from_parts(parts, body)).await
+    let run = async {
+        let body = buffer_body(body, max_bytes).await;
+        let body = body.map_err(|_broken| RunError::declined(DeclineReason::Unreachable))?;
+        restore_host(&mut parts);
+        node.local_server.run_request(&handoff, Request::from_parts(parts, body)).await
+    };
+    run.await.map_err(|error| FailedHandoff { error, service: Some(handoff.service.clone()) })
 }
 
 /// Turns an HTTP/2 request back into the HTTP/1.1 form for the server, with the host as a header.
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -58,15 +58,6 @@
 /// Number of slots assumed before the first heartbeat of the server.
 const INITIAL_SLOTS: usize = 1;
 
-/// A change that other daemons should learn of at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportChange {
-    /// A server has registered or begins to drain or leave.
-    Membership,
-    /// The server became suspect, or is no longer suspect.
-    Health,
-}
-
 #[derive(Debug)]
 struct State {
     registration: Registration,
@@ -109,10 +100,8 @@
     pub(crate) header_names: Rc<HeaderNames>,
     pub(crate) pool: Pool,
     state: RefCell<State>,
-    /// Change that [`Self::next_change`] has not returned yet.
-    pending_change: Cell<Option<ReportChange>>,
-    /// Notified when `pending_change` is set.
-    change_signal: Notify,
+    /// Notified of each change of the report that other daemons should learn of at once.
+    report_changed: Notify,
     is_stopping: Cell<bool>,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
@@ -133,17 +122,13 @@
             last_offered_at: now,
             shed_share: 0.0,
         };
-        let (pending_change, is_stopping) = (Cell::new(None), Cell::new(false));
-        let change_signal = Notify::new();
-        let ends_at = Cell::new(None);
         Self {
             header_names,
             pool: Pool::new(addr),
             state: RefCell::new(state),
-            pending_change,
-            change_signal,
-            is_stopping,
-            ends_at,
+            report_changed: Notify::new(),
+            is_stopping: Cell::new(false),
+            ends_at: Cell::new(None),
         }
     }
 
@@ -177,7 +162,7 @@
             event!(Info, ServerLeaving, "server={id} born={born} sequence={sequence}");
         }
         if outcome == HeartbeatOutcome::Registered || draining != was_draining {
-            self.signal_change(ReportChange::Membership);
+            self.report_changed.notify_one();
         }
         if draining {
             decline_waiting(&mut state);
@@ -192,7 +177,7 @@
         if state.registration.deregister(id, wall_ms) {
             event!(Info, ServerLeaving, "server={id} outcome=left");
             decline_waiting(&mut state);
-            self.signal_change(ReportChange::Membership);
+            self.report_changed.notify_one();
         }
     }
 
@@ -202,7 +187,7 @@
         if state.registration.restore_departures(departures) {
             event!(Info, ServerLeaving, "outcome=restored");
             decline_waiting(&mut state);
-            self.signal_change(ReportChange::Membership);
+            self.report_changed.notify_one();
         }
     }
 
@@ -211,20 +196,9 @@
         self.state.borrow().registration.departures()
     }
 
-    /// Waits for the next change that other daemons should learn of at once.
-    pub async fn next_change(&self) -> ReportChange {
-        loop {
-            if let Some(change) = self.pending_change.take() {
-                return change;
-            }
-            self.change_signal.notified().await;
-        }
-    }
-
-    fn signal_change(&self, change: ReportChange) {
-        let has_membership = self.pending_change.get() == Some(ReportChange::Membership);
-        self.pending_change.set(Some(if has_membership { ReportChange::Membership } else { change }));
-        self.change_signal.notify_one();
+    /// Waits for the next change of the report that other daemons should learn of at once.
+    pub async fn next_change(&self) {
+        self.report_changed.notified().await;
     }
 
     /// From now on declines requests that are not expected to finish before `at`. Those that are accepted
@@ -422,7 +396,7 @@
         let mut state = self.state.borrow_mut();
         state.down_until = Some(now + CONNECT_RETRY_DELAY);
         state.gray_filter.observe(RequestOutcome::Failure, now);
-        self.signal_change(ReportChange::Health);
+        self.report_changed.notify_one();
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
@@ -445,7 +419,7 @@
         if was_suspect == is_suspect {
             return;
         }
-        self.signal_change(ReportChange::Health);
+        self.report_changed.notify_one();
         let failing = state.gray_filter.failure_probability(now);
         let server = state.registration.server().map(|s| s.heartbeat.id.clone()).unwrap_or_default();
         if is_suspect {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,13 +19,15 @@
 use crate::attempts::ResponseSizes;
 use crate::clock::BootTime;
 use crate::config_refresh::FetchedConfig;
+use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
+use crate::digest::{Digest, RelayedReport};
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::header_names::HeaderNames;
 use crate::links::Links;
 use crate::local_server::LocalServer;
 use crate::metrics::Metrics;
-use crate::peers::{Hello, Incarnation, PeerInfo, Peers, Status};
+use crate::peers::Peers;
 use crate::registration::Departure;
 use crate::run_times::RunTimes;
 
@@ -81,9 +83,6 @@
     pub hasher: KeyHasher,
     /// Configuration in force, `None` until the first one is adopted; receivers are notified of each change.
     pub snapshot: watch::Sender<Option<Arc<Snapshot>>>,
-    /// Notified when every receiver of this daemon's status should get it without waiting for the next
-    /// interval.
-    pub status_urgent: Notify,
     /// Notified when the daemons of this data centre should get the status without waiting for the next
     /// interval.
     pub status_changed: Notify,
@@ -140,7 +139,6 @@
             metrics,
             hasher,
             snapshot: watch::Sender::new(None),
-            status_urgent: Notify::new(),
             status_changed: Notify::new(),
             refresh_wanted: Notify::new(),
             abort_requests: CancellationToken::new(),
@@ -188,7 +186,7 @@
             }
             self.raw_conf.replace(raw);
             self.snapshot.send_replace(Some(Arc::new(snapshot)));
-            self.status_urgent.notify_one();
+            self.status_changed.notify_one();
         }
         self.freshness.borrow_mut().adopt(version, proven_at);
         self.admission_changed.notify_waiters();
@@ -231,7 +229,7 @@
     pub fn begin_stop(&self, answer_by: Instant) {
         self.is_stopping.set(true);
         self.answer_by.set(Some(answer_by));
-        self.status_urgent.notify_one();
+        self.status_changed.notify_one();
     }
 
     /// Divides customers' rates by the number of daemons known now. Does nothing before the directory has been
@@ -313,6 +311,16 @@
         }
     }
 
+    /// Digest of the servers in this data centre, the one beside this daemon included.
+    pub fn digest(&self, now: Instant) -> Digest {
+        let mut digest = self.peers.borrow().digest(self.conf_version(), now, &mut rand::rng());
+        let report = self.local_server.report(now);
+        if report.takes_work && !report.condition.is_suspect() {
+            digest.servers.push(RelayedReport { daemon: self.identity.addr, report, age_ms: 0 });
+        }
+        digest
+    }
+
     /// Introduction of this daemon to the one at `to`.
     pub fn hello(&self, to: &DaemonId, wants_answer: bool, forward: bool) -> Hello {
         Hello { peer_info: self.peer_info(), status: self.status(to), wants_answer, forward }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,21 +1,22 @@
 //! Table of the other daemons: where they are, how loaded their servers are, and how recently they sent a
-//! status.
+//! status. Sans-I/O.
 //!
-//! Sans-I/O: [`gossip`](crate::gossip) sends and receives the messages defined here.
+//! Daemons of one data centre tell each other their status. What is known of servers elsewhere comes from
+//! digests ([`digest`](crate::digest)) and with answers.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use base::{CustomerId, DaemonId, Place, ServiceId, Version, rendezvous};
-use limit::TransferAmount;
+use base::{DaemonId, Place, Version, rendezvous};
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use route::placement::{Candidate, Distance, ServerCondition, ServerLoad};
-use serde::{Deserialize, Serialize};
+use route::placement::{Candidate, Distance};
 
 use crate::clock::BootTime;
+use crate::datagram::{Hello, PeerInfo, RemovedPeer, Status};
 use crate::handoff::ServerReport;
+use crate::peer::Peer;
 
 /// Interval between status messages to each daemon of the same data centre, unless the data centre is large.
 const STATUS_INTERVAL: Duration = Duration::from_millis(350);
@@ -28,12 +29,6 @@
 /// Time without a status message after which a daemon of the same data centre counts as silent and gets no
 /// work, unless the data centre is large.
 const SILENT_AFTER: Duration = Duration::from_secs(1);
-/// Time without a status message after which a daemon of another data centre counts as silent. Longer than
-/// [`SILENT_AFTER`], because status messages to other data centres are less frequent.
-const REMOTE_SILENT_AFTER: Duration = Duration::from_millis(2_600);
-/// Average number of daemons of each service, in the region's other data centres, with which a daemon
-/// exchanges status messages.
-const PARTNERS_PER_SERVICE: f64 = 6.0;
 /// Time of silence after which a daemon is removed by another one of its data centre. Longer than most
 /// network partitions, since a daemon that is only partitioned goes on using its share of the customers'
 /// rates.
@@ -54,175 +49,23 @@
 const CONTACTS_PER_CENTRE: usize = 2;
 /// Time after a failed hand-off before the same daemon gets work again.
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(1_500);
-/// Assumed mean run time of a server whose report is not known.
-const DEFAULT_MEAN_RUN: Duration = Duration::from_millis(400);
-/// Assumed number of slots of a server whose report is not known.
-const DEFAULT_SLOTS: u32 = 4;
-
-/// Start time of a daemon's process in Unix milliseconds. Tells successive processes on one address apart.
-pub type Incarnation = u64;
-
-/// A message between daemons. Each fits one datagram and is encoded with postcard, so the order of variants
-/// and fields is part of the protocol.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Datagram {
-    /// Introduces the sender to a receiver that may not know it.
-    Hello(Hello),
-    /// Periodic status of the sender, which the receiver already knows.
-    Status(Status),
-    /// Introduces a third daemon.
-    Peer(PeerInfo),
-    /// A daemon was removed from the directory.
-    Removed(RemovedPeer),
-    /// Requests tokens of a customer.
-    TokenRequest(CustomerId, TransferAmount),
-    /// Transfers tokens of customers to the receiver.
-    TokenGrants(Vec<(CustomerId, f32)>),
-}
-
-/// Introduction of a daemon, with its current status.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Hello {
-    /// Description of the sender.
-    pub peer_info: PeerInfo,
-    /// Current status of the sender.
-    pub status: Status,
-    /// Whether the receiver should introduce itself in return.
-    pub wants_answer: bool,
-    /// Whether the receiver should pass `peer_info` on to its data centre.
-    pub forward: bool,
-}
-
-/// Current status of a daemon.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Status {
-    /// Process that sent the status.
-    pub incarnation: Incarnation,
-    /// Load and health of the server beside the sender.
-    pub report: ServerReport,
-    /// Version of the sender's configuration; 0 if it has none.
-    pub version: Version,
-    /// Age in milliseconds of the sender's proof that `version` is the newest; `None` without a proof.
-    pub proof_age_ms: Option<u32>,
-    /// Time of sending on the sender's clock.
-    pub sent_at: BootTime,
-    /// `sent_at` of the latest status that the sender has received from the receiver. The receiver computes
-    /// from it how old a proof in this message is on its own clock.
-    pub echo: Option<BootTime>,
-    /// Whether the sender has recently received a status from the receiver.
-    pub receives_from_you: bool,
-    /// Number of daemons in the sender's table, the sender included.
-    pub member_count: u16,
-}
-
-/// Description of a daemon, as in its row of the directory.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerInfo {
-    /// Address for datagrams and hand-offs.
-    pub addr: DaemonId,
-    /// Process that wrote the description.
-    pub incarnation: Incarnation,
-    /// Region and data centre of the daemon's instance.
-    pub place: Place,
-    /// Service of the server beside the daemon.
-    pub service: ServiceId,
-}
-
-/// A daemon that was removed from the directory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RemovedPeer {
-    /// Address of the removed daemon.
-    pub addr: DaemonId,
-    /// Process that was removed; a later one on the same address is not affected.
-    pub incarnation: Incarnation,
-    /// Whether the receiver should pass the message on to its data centre.
-    pub forward: bool,
-}
-
-/// What is known of one other daemon.
-#[derive(Debug)]
-pub struct Peer {
-    /// Address for datagrams and hand-offs.
-    pub addr: DaemonId,
-    incarnation: Incarnation,
-    place: Place,
-    service: ServiceId,
-    report: Option<ServerReport>,
-    /// When `report` was received.
-    reported_at: Option<Instant>,
-    /// Version of the daemon's configuration; 0 if not known.
-    version: Version,
-    /// Number of daemons in that daemon's table, that daemon included.
-    member_count: u32,
-    /// Number of hand-offs to the daemon since its last report, which doesn't include them.
-    pending: u32,
-    last_status_at: Option<Instant>,
-    /// `sent_at` of the daemon's latest status, on the daemon's clock.
-    last_sent_at: Option<BootTime>,
-    /// Whether the daemon has recently received a status from this one.
-    receives_from_us: bool,
-    /// Set after a failed hand-off: the daemon gets no work until this time.
-    path_down_until: Option<Instant>,
-    added_at: Instant,
-}
-
-impl Peer {
-    fn new(peer_info: PeerInfo, now: Instant) -> Self {
-        let PeerInfo { addr, incarnation, place, service } = peer_info;
-        Self {
-            addr,
-            incarnation,
-            place,
-            service,
-            report: None,
-            reported_at: None,
-            version: 0,
-            member_count: 0,
-            pending: 0,
-            last_status_at: None,
-            last_sent_at: None,
-            receives_from_us: false,
-            path_down_until: None,
-            added_at: now,
-        }
-    }
-
-    fn load(&self) -> ServerLoad {
-        let Some(report) = self.report else {
-            let (running, slots) = (self.pending, DEFAULT_SLOTS);
-            return ServerLoad { running, waiting: 0, slots, mean_run: DEFAULT_MEAN_RUN };
-        };
-        report.load(self.pending)
-    }
-
-    /// Condition of the daemon's server. An idle server counts as healthy once this daemon has handed work to
-    /// it.
-    fn condition(&self) -> ServerCondition {
-        match self.report.map_or(ServerCondition::Healthy, |r| r.condition) {
-            ServerCondition::Idle if self.pending > 0 => ServerCondition::Healthy,
-            known => known,
-        }
-    }
-
-    fn takes_work(&self) -> bool {
-        self.report.is_none_or(|r| r.takes_work)
-    }
-}
 
 /// Table of all other daemons.
 #[derive(Debug)]
 pub struct Peers {
     own_addr: DaemonId,
-    place: Place,
-    by_addr: HashMap<DaemonId, Peer>,
+    pub(crate) place: Place,
+    pub(crate) by_addr: HashMap<DaemonId, Peer>,
     /// Number of daemons in `by_addr` that are in this data centre.
     centre_size: usize,
+    /// Numbers of silent daemons in other data centres, as their latest digests tell.
+    pub(crate) silent_elsewhere: HashMap<Place, u16>,
 }
 
 impl Peers {
     /// Creates an empty table for the daemon at `own_addr`.
     pub fn new(own_addr: DaemonId, place: Place) -> Self {
-        Self { own_addr, place, by_addr: HashMap::new(), centre_size: 0 }
+        Self { own_addr, place, by_addr: HashMap::new(), centre_size: 0, silent_elsewhere: HashMap::new() }
     }
 
     /// Adds a daemon, or replaces an earlier process on its address; true if the table has changed.
@@ -264,8 +107,7 @@
         if status.incarnation > peer.incarnation {
             return false;
         }
-        peer.report = Some(status.report);
-        peer.reported_at = Some(now);
+        peer.apply_report(status.report, now);
         peer.version = status.version;
         peer.member_count = u32::from(status.member_count);
         peer.pending = 0;
@@ -281,8 +123,7 @@
     /// Records the report that came with a daemon's answer.
     pub fn record_report(&mut self, from: DaemonId, report: ServerReport, now: Instant) {
         if let Some(peer) = self.by_addr.get_mut(&from) {
-            peer.report = Some(report);
-            peer.reported_at = Some(now);
+            peer.apply_report(report, now);
             peer.pending = peer.pending.saturating_sub(1);
         }
     }
@@ -296,21 +137,23 @@
     /// Whether the server to which a request was handed at `since` is suspected to fail, or its daemon is
     /// silent.
     ///
-    /// Daemons of other regions send no status, only reports with their answers. Such a daemon counts as
-    /// silent if no report has come from it after `since`.
+    /// Daemons of other data centres send no status. Such a daemon counts as silent if there is no report on its
+    /// server that was made after `since`.
     pub fn is_suspect_or_silent(&self, addr: &DaemonId, since: Instant, now: Instant) -> bool {
         let Some(peer) = self.by_addr.get(addr) else {
             return true;
         };
         let Candidate { distance, condition, reachable, .. } = self.candidate(peer, 0, now);
-        let is_silent = distance == Distance::OtherRegion && peer.reported_at.is_none_or(|at| at < since);
+        let is_elsewhere = distance > Distance::SameDataCentre;
+        let is_silent = is_elsewhere && peer.reported_at.is_none_or(|at| at < since);
         condition.is_suspect() || !reachable || is_silent
     }
 
     /// Counts a hand-off to a daemon until its next report.
-    pub fn record_handoff(&mut self, to: DaemonId) {
+    pub fn record_handoff(&mut self, to: DaemonId, now: Instant) {
         if let Some(peer) = self.by_addr.get_mut(&to) {
             peer.pending += 1;
+            peer.handed_off_at = Some(now);
         }
     }
 
@@ -321,13 +164,12 @@
         }
     }
 
-    /// Whether a status of the daemon has been received recently enough to give it work.
+    /// Whether a status of a daemon of this data centre has been received recently enough to give it work.
     pub fn has_recent_status(&self, addr: &DaemonId, now: Instant) -> bool {
         let Some(peer) = self.by_addr.get(addr) else {
             return false;
         };
-        let limit_in_centre = SILENT_AFTER.mul_f64(self.interval_factor());
-        let limit = if peer.place == self.place { limit_in_centre } else { REMOTE_SILENT_AFTER };
+        let limit = SILENT_AFTER.mul_f64(self.interval_factor());
         peer.last_status_at.is_some_and(|at| now.saturating_duration_since(at) < limit)
     }
 
@@ -354,23 +196,6 @@
         self.by_addr.get(addr).and_then(|p| p.last_sent_at)
     }
 
-    /// Daemons of the region's other data centres with which this one exchanges status messages. Both daemons
-    /// of a pair decide alike, by a hash of their addresses. The number of partners doesn't grow with the
-    /// fleet.
-    pub fn partners(&self, own_service: &str) -> Vec<DaemonId> {
-        let mut sizes: HashMap<&str, f64> = HashMap::from([(own_service, 1.0)]);
-        let in_region = || self.by_addr.values().filter(|p| p.place.region == self.place.region);
-        for peer in in_region() {
-            *sizes.entry(&*peer.service).or_default() += 1.0;
-        }
-        let size = |service: &str| sizes.get(service).copied().unwrap_or(1.0);
-        let is_partner = |p: &&Peer| {
-            let smaller = size(own_service).min(size(&p.service));
-            p.place != self.place && pair_fraction(self.own_addr, p.addr) < PARTNERS_PER_SERVICE / smaller
-        };
-        in_region().filter(is_partner).map(|p| p.addr).collect()
-    }
-
     /// Up to `CONTACTS_PER_CENTRE` daemons of each other data centre, which pass messages on to the daemons
     /// there.
     pub fn remote_contacts(&self) -> Vec<DaemonId> {
@@ -449,7 +274,8 @@
         let is_silent = |p: &&Peer| {
             p.last_status_at.is_some_and(|at| now.saturating_duration_since(at) > SHARE_RELEASED_AFTER)
         };
-        let silent = self.by_addr.values().filter(is_silent).count() as u32;
+        let silent_here = self.peers_in_centre().filter(is_silent).count() as u32;
+        let silent = silent_here + self.silent_elsewhere.values().map(|n| u32::from(*n)).sum::<u32>();
         let min_divisor = (f64::from(known) * (1.0 - MAX_RELEASED_SHARE)).ceil() as u32;
         known.saturating_sub(silent).max(min_divisor)
     }
@@ -514,7 +340,7 @@
             Distance::OtherRegion
         };
         let is_down = peer.path_down_until.is_some_and(|until| now < until);
-        let is_connected = distance == Distance::OtherRegion
+        let is_connected = distance > Distance::SameDataCentre
             || (peer.receives_from_us && self.has_recent_status(&peer.addr, now));
         Candidate {
             index,
@@ -522,6 +348,7 @@
             load: peer.load(),
             condition: peer.condition(),
             reachable: is_connected && !is_down,
+            is_known: distance <= Distance::SameDataCentre || peer.is_known(now),
         }
     }
 }
@@ -531,10 +358,3 @@
 fn customer_group(customer: &str) -> String {
     (rendezvous::stable_hash(customer.as_bytes()) % CUSTOMER_GROUPS).to_string()
 }
-
-/// Pseudo-random number between 0 and 1 that is the same for both daemons of a pair.
-fn pair_fraction(a: DaemonId, b: DaemonId) -> f64 {
-    let (low, high) = if a < b { (a, b) } else { (b, a) };
-    let hash = rendezvous::stable_hash(format!("{low} {high}").as_bytes());
-    hash as f64 / u64::MAX as f64
-}
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -9,6 +9,8 @@
 //!   corrected and no healthy capacity lies idle.
 //! - Many servers in several data centres are equally loaded: candidates are drawn in the own data centre and
 //!   in others of the region, and a request leaves its data centre only for a gain that is worth its bytes.
+//! - Servers elsewhere were loaded or failing when they last reported, or never reported: only those with a recent
+//!   report are chosen while there are any, since each wrong choice costs a journey.
 //! - A region has too few servers: requests cross the link to another region only if the near servers would
 //!   miss the latency objective.
 
@@ -100,6 +102,8 @@
     pub condition: ServerCondition,
     /// Whether the network path to the server works, as far as is known.
     pub reachable: bool,
+    /// Whether `load` and `condition` are recent enough to choose the server by them.
+    pub is_known: bool,
 }
 
 /// What a request requires of its placement.
@@ -115,8 +119,8 @@
 
 /// Chooses a candidate and returns its [`Candidate::index`]; `None` only if there are no candidates.
 ///
-/// A few requests go to servers on probation or to idle ones. All others go to healthy reachable servers; if
-/// there are none, to a reachable one in the region, else to any.
+/// A few requests go to servers on probation or to idle ones. All others go to healthy reachable servers that
+/// are known; if there are none, to one that is not known, to a reachable one in the region, else to any.
 pub fn place_request(
     candidates: &[Candidate],
     requirements: &Requirements,
@@ -132,7 +136,8 @@
     if let Some(index) = draw_with_probability(candidates, IDLE_SERVER_PROBABILITY, is_idle, rng) {
         return Some(index);
     }
-    let is_usable = |c: &&Candidate| !c.condition.is_suspect() && c.reachable;
+    let may_be_healthy = |c: &&Candidate| !c.condition.is_suspect() && c.reachable;
+    let is_usable = |c: &&Candidate| may_be_healthy(c) && c.is_known;
     let bytes = requirements.bytes;
     let in_own_region = |c: &&Candidate| c.distance < Distance::OtherRegion;
     let in_data_centre = |c: &&Candidate| c.distance <= Distance::SameDataCentre;
@@ -149,7 +154,8 @@
     let other_region =
         draw_best(candidates.iter().filter(is_usable).filter(|c| !in_own_region(c)), bytes, rng);
     let best = [near, other_region].into_iter().flatten().min_by_key(|c| expected_completion(c, bytes));
-    best.or_else(|| draw_best(candidates.iter().filter(|c| c.reachable && in_own_region(c)), bytes, rng))
+    best.or_else(|| draw_best(candidates.iter().filter(may_be_healthy), bytes, rng))
+        .or_else(|| draw_best(candidates.iter().filter(|c| c.reachable && in_own_region(c)), bytes, rng))
         .or_else(|| draw_best(candidates.iter(), bytes, rng))
         .map(|c| c.index)
 }
@@ -161,7 +167,8 @@
     is_wanted: impl Fn(&Candidate) -> bool,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let is_eligible = |c: &&Candidate| c.reachable && c.distance < Distance::OtherRegion && is_wanted(c);
+    let is_eligible =
+        |c: &&Candidate| c.reachable && c.is_known && c.distance < Distance::OtherRegion && is_wanted(c);
     let count = candidates.iter().filter(is_eligible).count();
     if count == 0 || !rng.random_bool(probability) {
         return None;
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -17,6 +17,7 @@
         load: ServerLoad { running, waiting: 0, slots: 5, mean_run: Duration::from_millis(400) },
         condition: ServerCondition::Healthy,
         reachable: true,
+        is_known: true,
     }
 }
 
@@ -142,3 +143,18 @@
     let full = expected_completion(&candidate(0, Distance::SameInstance, 10), 0);
     assert!(full > idle * 2, "{idle:?} {full:?}");
 }
+
+#[test]
+fn a_server_whose_load_is_not_known_is_not_preferred_to_a_full_one() {
+    let unknown = Candidate { is_known: false, ..candidate(0, Distance::OtherRegion, 0) };
+    let candidates = [unknown, candidate(1, Distance::SameDataCentre, 30)];
+    assert_eq!(chosen(&candidates, &requirements())[1], ROUNDS);
+}
+
+#[test]
+fn a_server_whose_load_is_not_known_is_better_than_a_suspect_one() {
+    let unknown = Candidate { is_known: false, ..candidate(0, Distance::OtherRegion, 0) };
+    let suspect =
+        Candidate { condition: ServerCondition::Suspect, ..candidate(1, Distance::SameDataCentre, 0) };
+    assert_eq!(chosen(&[unknown, suspect], &requirements())[0], ROUNDS);
+}
