Ask few daemons for a probe, and weigh failures after work by what they show

Isolated 500s after work, which well servers answer too, made idle or slow-paced servers suspect; so did 500s of servers whose own calls had failed. Every daemon of the data centre and of the region was told that a suspect server wants a probe, and many sent one at once: 4,100 declines. Change: a failure after work counts ten times as likely at a failing server, not forty; a 500 is no evidence if a call from this instance on an open route failed during the run; eight daemons on the mean are asked for a probe, and answers ask for none. The new tests of the filter and of failed calls fail before.

--- a/crates/health/src/gray_filter.rs
+++ b/crates/health/src/gray_filter.rs
@@ -8,16 +8,20 @@
 
 use std::time::{Duration, Instant};
 
-// Of the two probabilities of an outcome only the ratio matters; the three outcomes need not sum up to 1.
+// Of the two probabilities of an outcome only the ratio matters; those of all outcomes need not sum up to 1.
 
 /// Probability that a request succeeds at a healthy server.
 const SUCCESS_WHEN_HEALTHY: f64 = 0.98;
 /// Probability that a request succeeds at a failing server.
 const SUCCESS_WHEN_FAILING: f64 = 0.2;
-/// Probability that a healthy server works on a request and fails it.
+/// Probability that a request at a healthy server is overdue or can't be sent.
 const FAIL_WHEN_HEALTHY: f64 = 0.02;
-/// Probability that a failing server works on a request and fails it.
+/// Probability that a request at a failing server is overdue or can't be sent.
 const FAIL_WHEN_FAILING: f64 = 0.8;
+/// Probability that a healthy server works on a request and fails it.
+const FAIL_LATE_WHEN_HEALTHY: f64 = 0.02;
+/// Probability that a failing server works on a request and fails it; most of its failures come at once.
+const FAIL_LATE_WHEN_FAILING: f64 = 0.2;
 /// Probability that a healthy server fails a request at once.
 const FAIL_FAST_WHEN_HEALTHY: f64 = 0.000_5;
 /// Probability that a failing server fails a request at once.
@@ -39,8 +43,10 @@
 pub enum RequestOutcome {
     /// The server answered as it should.
     Success,
-    /// The server answered with an error, broke off, or took far longer than expected.
+    /// The server took far longer than expected or could not be connected to.
     Failure,
+    /// The server answered with an error or broke off after it may have worked on the request.
+    LateFailure,
     /// The server failed the request sooner than it can have worked on it.
     FastFailure,
 }
@@ -48,7 +54,7 @@
 impl RequestOutcome {
     /// Outcome of a request that failed after `took` and was expected to take `expected`.
     pub fn failure(took: Duration, expected: Duration) -> Self {
-        if took < expected.mul_f64(FAST_FAILURE_PART) { Self::FastFailure } else { Self::Failure }
+        if took < expected.mul_f64(FAST_FAILURE_PART) { Self::FastFailure } else { Self::LateFailure }
     }
 
     /// Whether the server failed the request.
@@ -91,6 +97,7 @@
         let (if_failing, if_healthy) = match outcome {
             RequestOutcome::Success => (SUCCESS_WHEN_FAILING, SUCCESS_WHEN_HEALTHY),
             RequestOutcome::Failure => (FAIL_WHEN_FAILING, FAIL_WHEN_HEALTHY),
+            RequestOutcome::LateFailure => (FAIL_LATE_WHEN_FAILING, FAIL_LATE_WHEN_HEALTHY),
             RequestOutcome::FastFailure => (FAIL_FAST_WHEN_FAILING, FAIL_FAST_WHEN_HEALTHY),
         };
         let joint = prior * if_failing;
--- a/crates/health/tests/gray_filter.rs
+++ b/crates/health/tests/gray_filter.rs
@@ -122,3 +122,32 @@
     );
     assert!(!filter.is_suspect(after(start, 1_000)));
 }
+
+/// A healthy server gets 3 requests a second and fails 1 in 80 of them after having worked on it.
+#[test]
+fn a_healthy_server_with_rare_failures_after_work_is_seldom_suspected() {
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(5);
+    let (mut failures, mut suspected) = (0, 0);
+    let mut filter = healthy(start);
+    for n in 4..20_000 {
+        let now = after(start, n * 1_000 / 3);
+        let failed = rng.random_ratio(1, 80);
+        let late = RequestOutcome::failure(Duration::from_millis(800), Duration::from_millis(900));
+        filter.observe(if failed { late } else { RequestOutcome::Success }, now);
+        failures += u32::from(failed);
+        suspected += u32::from(filter.is_suspect(now));
+    }
+    assert!(suspected < failures / 10, "{suspected} of {failures}");
+}
+
+#[test]
+fn two_failures_after_work_in_a_row_make_a_busy_server_suspect() {
+    let start = Instant::now();
+    let mut filter = healthy(start);
+    for n in 0..2 {
+        let late = RequestOutcome::failure(Duration::from_millis(800), Duration::from_millis(900));
+        filter.observe(late, after(start, 1_000 + n * 100));
+    }
+    assert!(filter.is_suspect(after(start, 1_100)));
+}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -130,7 +130,9 @@
             RunError::Broken
         })?;
         if parts.status.is_server_error() {
-            local_server.record_outcome(RequestOutcome::failure(took, expected_run), now);
+            if !local_server.may_be_failed_call(sent_at) {
+                local_server.record_outcome(RequestOutcome::failure(took, expected_run), now);
+            }
             local_server.pool.put(conn, run.keep_alive, now);
         } else {
             run.conn = Some(conn);
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -141,6 +141,16 @@
 }
 
 impl ServerReport {
+    /// The report for a daemon that should not probe the server.
+    #[must_use]
+    pub fn without_probation(self) -> Self {
+        let condition = match self.condition {
+            ServerCondition::Probation => ServerCondition::Suspect,
+            other => other,
+        };
+        Self { condition, ..self }
+    }
+
     /// Load of the server, with `pending` hand-offs that the report doesn't include yet.
     pub fn load(&self, pending: u32) -> ServerLoad {
         ServerLoad {
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -159,6 +159,10 @@
             Err(if may_have_run.get() { Refusal::Broken } else { Refusal::Stopping }.into())
         }
     };
+    let has_failed = result.as_ref().map_or(true, |rep| rep.status().is_server_error());
+    if admitted.route.open && has_failed {
+        node.local_server.record_failed_call(Instant::now());
+    }
     result.map_err(|refused| {
         if let Some(customer) =
             admitted.customer.as_ref().filter(|_| refused.refusal.executed() == Executed::No)
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -234,7 +234,8 @@
         Ok(rep) => rep,
         Err(failed) => failed.into_response(&node),
     };
-    handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &node.local_server.report(Instant::now()));
+    let report = node.local_server.report(Instant::now()).without_probation();
+    handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &report);
     rep
 }
 
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -102,6 +102,8 @@
     state: RefCell<State>,
     /// Notified of each change of the report that other daemons should learn of at once.
     report_changed: Notify,
+    /// When a call last failed that the server may have made for one of its running requests.
+    call_failed_at: Cell<Option<Instant>>,
     is_stopping: Cell<bool>,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
@@ -127,6 +129,7 @@
             pool: Pool::new(addr),
             state: RefCell::new(state),
             report_changed: Notify::new(),
+            call_failed_at: Cell::new(None),
             is_stopping: Cell::new(false),
             ends_at: Cell::new(None),
         }
@@ -400,6 +403,17 @@
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
+    /// Records that a call of this instance on an open route has failed, which the server may have made.
+    pub(crate) fn record_failed_call(&self, now: Instant) {
+        self.call_failed_at.set(Some(now));
+    }
+
+    /// Whether a failure of a request that was sent at `sent_at` may be the failure of a call that the server
+    /// made for it, which is no evidence against the server.
+    pub(crate) fn may_be_failed_call(&self, sent_at: Instant) -> bool {
+        self.call_failed_at.get().is_some_and(|at| at > sent_at)
+    }
+
     /// Records whether the server shed or ran a request that reached it.
     pub(crate) fn record_arrival(&self, was_shed: bool) {
         let mut state = self.state.borrow_mut();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -11,6 +11,7 @@
 use conf::{KeyHasher, Snapshot};
 use derive_more::Debug;
 use limit::{LocalBuckets, QuotaTolerance};
+use rand::Rng;
 use route::RetryBudget;
 use store::Table;
 use tokio::sync::{Notify, watch};
@@ -34,6 +35,10 @@
 /// Shortest time between two requests for tokens of the same customer to other data centres.
 const REFILL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Average number of daemons that a suspect server's daemon asks at a time to probe the server. Only one probe
+/// runs at a time; further ones are declined.
+const PROBERS: f64 = 8.0;
+
 /// Properties of a daemon that stay the same for the life of its process.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -297,8 +302,10 @@
     /// Status to be sent to the daemon at `to`.
     pub fn status(&self, to: &DaemonId) -> Status {
         let now = Instant::now();
-        let report = self.local_server.report(now);
         let peers = self.peers.borrow();
+        let may_probe = rand::rng().random_bool((PROBERS / f64::from(peers.centre_member_count())).min(1.0));
+        let report = self.local_server.report(now);
+        let report = if may_probe { report } else { report.without_probation() };
         Status {
             incarnation: self.identity.incarnation,
             report,
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -96,6 +96,13 @@
         self.reported_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_REPORT_AGE)
     }
 
+    /// Counts a hand-off until the daemon's next report. A server that asked for a probe has got one.
+    pub(crate) fn record_handoff(&mut self, now: Instant) {
+        self.pending += 1;
+        self.handed_off_at = Some(now);
+        self.report = self.report.map(ServerReport::without_probation);
+    }
+
     /// Applies a report that the daemon itself has just sent.
     pub(crate) fn apply_report(&mut self, report: ServerReport, now: Instant) {
         self.report = Some(report);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -152,8 +152,7 @@
     /// Counts a hand-off to a daemon until its next report.
     pub fn record_handoff(&mut self, to: DaemonId, now: Instant) {
         if let Some(peer) = self.by_addr.get_mut(&to) {
-            peer.pending += 1;
-            peer.handed_off_at = Some(now);
+            peer.record_handoff(now);
         }
     }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -54,6 +54,8 @@
     Answer,
     /// Answers with an error status.
     Fail,
+    /// Answers with an error status after this many milliseconds.
+    FailAfter(u64),
     /// Answers that it did not run the request.
     Shed,
     /// Closes the connection after reading the request.
@@ -150,6 +152,10 @@
         match act {
             Act::Answer => {}
             Act::Fail => *rep.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR,
+            Act::FailAfter(ms) => {
+                *rep.status_mut() = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+                sleep(Duration::from_millis(ms)).await;
+            }
             Act::Shed => {
                 *rep.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
                 rep.headers_mut().insert("x-not-run", "1".parse().expect("a header value"));
@@ -611,6 +617,15 @@
     snapshot_parts(hasher, keys, rate).into_snapshot(version).expect("the test's configuration is valid")
 }
 
+/// As [`snapshot`] with [`KEY`], and an open route `/callee/` to a service without servers.
+pub fn conf_with_callee(hasher: &KeyHasher) -> Snapshot {
+    let mut parts = snapshot_parts(hasher, &[KEY], 1_000_000.0);
+    let callee = Service { name: "callee".into(), ..parts.services[0].clone() };
+    parts.routes.push(Route { service: callee.name.clone(), ..route("callee", RepeatPolicy::Always, true) });
+    parts.services.push(callee);
+    parts.into_snapshot(1).expect("the test's configuration is valid")
+}
+
 fn snapshot_parts(hasher: &KeyHasher, keys: &[&str], rate: f64) -> SnapshotParts {
     let key = |secret: &&str| Key {
         name: (*secret).into(),
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -8,7 +8,7 @@
 use relay::datagram::{PeerInfo, RemovedPeer, Status};
 use relay::handoff::ServerReport;
 use relay::peers::Peers;
-use route::placement::ServerCondition;
+use route::placement::{Candidate, ServerCondition};
 
 fn addr(n: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7780))
@@ -54,10 +54,18 @@
     peers
 }
 
-fn is_reachable(peers: &Peers, n: u16, now: Instant) -> bool {
+fn candidate(peers: &Peers, n: u16, now: Instant) -> Candidate {
     let (addrs, candidates) = peers.candidates("sacristia", &[], now);
     let index = addrs.iter().position(|a| *a == addr(n)).expect("the daemon is a candidate");
-    candidates.iter().any(|c| c.index == index && c.reachable)
+    candidates.into_iter().find(|c| c.index == index).expect("each daemon has its candidate")
+}
+
+fn is_reachable(peers: &Peers, n: u16, now: Instant) -> bool {
+    candidate(peers, n, now).reachable
+}
+
+fn condition(peers: &Peers, n: u16, now: Instant) -> ServerCondition {
+    candidate(peers, n, now).condition
 }
 
 #[test]
@@ -229,3 +237,14 @@
     peers.record_report(addr(30), status(50, true).report, handed_off_at);
     assert!(!peers.is_suspect_or_silent(&addr(30), handed_off_at, handed_off_at));
 }
+
+#[test]
+fn a_suspect_server_is_probed_once_for_each_report() {
+    let now = Instant::now();
+    let mut peers = peers(now);
+    let probation = ServerReport { condition: ServerCondition::Probation, ..status(50, true).report };
+    peers.record_report(addr(1), probation, now);
+    assert_eq!(condition(&peers, 1, now), ServerCondition::Probation);
+    peers.record_handoff(addr(1), now);
+    assert_eq!(condition(&peers, 1, now), ServerCondition::Suspect);
+}
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Act, KEY, conf, eventually, fleet, on_one_thread, request, snapshot, status};
+use common::{Act, KEY, conf, conf_with_callee, eventually, fleet, on_one_thread, request, snapshot, status};
 use conf::{KeyHasher, Snapshot};
 use relay::handoff::{Handoff, Repetition};
 use rstest::rstest;
@@ -117,6 +117,26 @@
     });
 }
 
+#[rstest]
+#[case::after_a_call_failed(true)]
+#[case::without_a_call(false)]
+fn a_failure_that_a_failed_call_explains_is_no_evidence_against_the_server(#[case] has_call: bool) {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::FailAfter(250)]], conf_with_callee).await;
+        let daemon = &fleet.daemons[0];
+        let call = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            if has_call {
+                assert_eq!(status(&daemon.get("/callee/a", "r2").await), 503);
+            }
+        };
+        let (rep, ()) = tokio::join!(daemon.post("/order/a", "r1"), call);
+        assert_eq!(status(&rep), 500, "{rep}");
+        let condition = daemon.node.local_server.report(Instant::now()).condition;
+        assert_eq!(condition.is_suspect(), !has_call);
+    });
+}
+
 #[test]
 fn a_shed_unrepeatable_request_runs_at_another_server() {
     on_one_thread(async {
