Keep requests near while that is near enough, and judge by the route's run time

The expected wait took the mean of what runs, where the next request needs only the first slot; calls that would have got one were declined and their parents failed. Servers that a digest no longer names stayed known for 4 s; a fifth of the requests went to idle servers anywhere in the region.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::placement::{Candidate, Distance, Requirements, place_request};
+use route::placement::{Candidate, Distance, Requirements, place_request, typical_run};
 use smallvec::SmallVec;
 use tokio::time::{sleep, sleep_until};
 
@@ -288,7 +288,8 @@
     async fn choose_daemon(&mut self) -> Option<DaemonId> {
         let wait_until = Instant::now() + FIRST_SERVER_WAIT.min(self.admitted.route.objective / 8);
         loop {
-            if self.declines >= MAX_DECLINES {
+            let is_held_long = self.declines > 0 && Instant::now() > self.admitted.move_until;
+            if self.declines >= MAX_DECLINES || is_held_long {
                 return None;
             }
             if let Some((to, is_last_resort)) = self.choose_from_known() {
@@ -318,9 +319,14 @@
         self.add_local_server(&mut addrs, &mut candidates, now);
         let sizes = self.node.response_sizes.borrow();
         let size = sizes.get(&self.admitted.route_hash).copied().unwrap_or(0.0);
+        let objective = self.admitted.route.objective;
+        let expected_run = self.node.answer_times.borrow().expected_run(self.admitted.route_hash, objective);
         let requirements = Requirements {
             repeatable: self.repeatable && self.servers_reached == 0 && self.hedged.is_none(),
+            nested: self.admitted.route.open,
             objective_left: self.admitted.objective_at.saturating_duration_since(now),
+            expected_run,
+            typical_run: typical_run(&candidates).unwrap_or(expected_run),
             bytes: size as u64 + self.admitted.body.len() as u64 + ESTIMATED_HEAD_BYTES,
         };
         let mut rng = SmallRng::from_rng(&mut rand::rng());
--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -24,6 +24,8 @@
 const MAX_SERVERS_PER_DIGEST: usize = 64;
 /// Number of servers that a daemon names when it declines a request.
 const SERVERS_PER_DECLINE: usize = 3;
+/// Longest time for which the origin of a digest has not known a change when the digest arrives.
+const DIGEST_LAG: Duration = Duration::from_millis(500);
 /// Time of silence after which a daemon is reported as silent to other data centres.
 const SILENT_AFTER: Duration = Duration::from_secs(4);
 
@@ -73,14 +75,20 @@
         choose_servers(&peers, SERVERS_PER_DECLINE, now, rng)
     }
 
-    /// Applies a digest of the data centre of the daemon `origin`; true if the digest is of another data
-    /// centre than this one.
+    /// Applies a digest of the data centre of the daemon `origin`. Servers there that it doesn't name are no longer
+    /// known, unless they have answered since. True if the
+    /// digest is of another data centre than this one.
     pub fn apply_digest(&mut self, origin: &DaemonId, digest: &Digest, now: Instant) -> bool {
         let Some(peer) = self.by_addr.get_mut(origin).filter(|p| p.place != self.place) else {
             return false;
         };
         peer.version = digest.version;
         let place = peer.place.clone();
+        let is_named = |p: &Peer| digest.servers.iter().any(|s| s.daemon == p.addr);
+        let unnamed = self.by_addr.values_mut().filter(|p| p.place == place && !is_named(p));
+        if let Some(seen_until) = now.checked_sub(DIGEST_LAG) {
+            unnamed.for_each(|p| p.forget_report_before(seen_until));
+        }
         self.apply_relayed_reports(&digest.servers, now);
         self.silent_elsewhere.insert(place, digest.silent_daemons);
         true
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -109,6 +109,11 @@
         self.reported_at = Some(now);
     }
 
+    /// No longer relies on a report that was made before `time`.
+    pub(crate) fn forget_report_before(&mut self, time: Instant) {
+        self.reported_at.take_if(|at| *at < time);
+    }
+
     /// Applies a report that was made at `reported_at` and came through another daemon, unless a later one is
     /// known.
     pub(crate) fn apply_older_report(&mut self, report: ServerReport, reported_at: Instant) {
--- a/crates/relay/tests/digest.rs
+++ b/crates/relay/tests/digest.rs
@@ -202,3 +202,30 @@
     centres.sort_unstable();
     assert_eq!(centres, [1, 2, 3]);
 }
+
+#[test]
+fn a_server_that_the_next_digest_does_not_name_is_no_longer_known() {
+    let now = Instant::now();
+    let mut here = peers(0, 4, now);
+    let mut there = informed_peers(2, 4, now);
+    here.apply_digest(&addr(2, 0), &there.digest(1, now, &mut rng()), now);
+    assert!(candidate(&here, addr(2, 1), now).is_known);
+
+    let later = now + Duration::from_millis(900);
+    let suspect = ServerReport { condition: ServerCondition::Suspect, ..report(0) };
+    there.apply_status(addr(2, 1), &status(suspect), later);
+    here.apply_digest(&addr(2, 0), &there.digest(1, later, &mut rng()), later);
+
+    assert!(!candidate(&here, addr(2, 1), later).is_known);
+    assert!(candidate(&here, addr(2, 2), later).is_known);
+}
+
+#[test]
+fn a_server_that_has_just_answered_is_known_although_a_digest_does_not_name_it() {
+    let now = Instant::now();
+    let mut here = peers(0, 4, now);
+    here.record_report(addr(2, 1), report(1), now);
+    let empty = Digest { version: 1, silent_daemons: 0, servers: Vec::new() };
+    here.apply_digest(&addr(2, 0), &empty, now + Duration::from_millis(100));
+    assert!(candidate(&here, addr(2, 1), now).is_known);
+}
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -7,8 +7,9 @@
 //!   all pick the same one.
 //! - A server once seemed slow: it gets some requests after a while without any, so that the estimate can be
 //!   corrected and no healthy capacity lies idle.
-//! - Many servers in several data centres are equally loaded: candidates are drawn in the own data centre and
-//!   in others of the region, and a request leaves its data centre only for a gain that is worth its bytes.
+//! - Many servers in several data centres are equally loaded: a request leaves its data centre only if it might
+//!   miss its objective there, and then for a gain that is worth its bytes.
+//! - Short calls and long requests share servers: the run time of the request's route counts, not the mean of all.
 //! - Servers elsewhere were loaded or failing when they last reported, or never reported: only those with a recent
 //!   report are chosen while there are any, since each wrong choice costs a journey.
 //! - A region has too few servers: requests cross the link to another region only if the near servers would
@@ -20,8 +21,15 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-/// Candidates drawn at random for one choice.
-const DRAWN_CANDIDATES: usize = 2;
+/// Candidates drawn at random in this data centre, whose reports are recent.
+const DRAWN_NEAR: usize = 3;
+/// Candidates drawn at random in other data centres, whose reports are older.
+const DRAWN_ELSEWHERE: usize = 2;
+/// Part of the time left to the objective within which a server of this data centre must be expected to finish
+/// for no other data centre to be considered.
+const NEAR_ENOUGH_PART: f64 = 0.5;
+/// Bounds of the factor by which a server is taken to be slower than others.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Penalty on the expected completion in another data centre of the region.
 const OTHER_DATA_CENTRE_PENALTY: Duration = Duration::from_millis(80);
 /// Further penalty in another data centre for each kilobyte of request and answer.
@@ -33,7 +41,7 @@
 const OTHER_REGION_PENALTY_PER_KB: Duration = Duration::from_millis(10);
 /// Upper bound of the size that the penalties count.
 const MAX_KILOBYTES: u64 = 10_000;
-/// Penalty on a server with all slots in use, as a part of its mean run time.
+/// Penalty on a server with all slots in use, as a part of the run time.
 const FULL_USE_PENALTY: f64 = 0.5;
 /// Probability that a repeatable request goes to a suspect server that asks for probes.
 const PROBE_PROBABILITY: f64 = 0.3;
@@ -111,8 +119,14 @@
 pub struct Requirements {
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Whether a running request waits for this one, which therefore goes before all that wait for a slot.
+    pub nested: bool,
     /// Time left until the request's latency objective.
     pub objective_left: Duration,
+    /// Expected run time at an average server.
+    pub expected_run: Duration,
+    /// Mean run time of all requests at an average server, as by [`typical_run`]. Not zero.
+    pub typical_run: Duration,
     /// Expected size of the request and its answer together.
     pub bytes: u64,
 }
@@ -132,34 +146,67 @@
             return Some(index);
         }
     }
-    let is_idle = |c: &Candidate| c.condition == ServerCondition::Idle;
+    // Idle servers elsewhere get requests of their own data centre.
+    let is_idle =
+        |c: &Candidate| c.condition == ServerCondition::Idle && c.distance <= Distance::SameDataCentre;
     if let Some(index) = draw_with_probability(candidates, IDLE_SERVER_PROBABILITY, is_idle, rng) {
         return Some(index);
     }
     let may_be_healthy = |c: &&Candidate| !c.condition.is_suspect() && c.reachable;
     let is_usable = |c: &&Candidate| may_be_healthy(c) && c.is_known;
-    let bytes = requirements.bytes;
     let in_own_region = |c: &&Candidate| c.distance < Distance::OtherRegion;
     let in_data_centre = |c: &&Candidate| c.distance <= Distance::SameDataCentre;
-    let same_data_centre = draw_best(candidates.iter().filter(is_usable).filter(in_data_centre), bytes, rng);
+    let same_data_centre = draw_best::<DRAWN_NEAR>(
+        candidates.iter().filter(is_usable).filter(in_data_centre),
+        requirements,
+        rng,
+    );
+    if let Some(best) = same_data_centre
+        && expected_completion(best, requirements) <= requirements.objective_left.mul_f64(NEAR_ENOUGH_PART)
+    {
+        return Some(best.index);
+    }
     let in_other_data_centre = |c: &&Candidate| c.distance == Distance::SameRegion;
-    let same_region = draw_best(candidates.iter().filter(is_usable).filter(in_other_data_centre), bytes, rng);
-    let near =
-        [same_data_centre, same_region].into_iter().flatten().min_by_key(|c| expected_completion(c, bytes));
+    let same_region = draw_best::<DRAWN_ELSEWHERE>(
+        candidates.iter().filter(is_usable).filter(in_other_data_centre),
+        requirements,
+        rng,
+    );
+    let near = [same_data_centre, same_region]
+        .into_iter()
+        .flatten()
+        .min_by_key(|c| expected_completion(c, requirements));
     if let Some(best) = near
-        && expected_completion(best, bytes) <= requirements.objective_left
+        && expected_completion(best, requirements) <= requirements.objective_left
     {
         return Some(best.index);
     }
-    let other_region =
-        draw_best(candidates.iter().filter(is_usable).filter(|c| !in_own_region(c)), bytes, rng);
-    let best = [near, other_region].into_iter().flatten().min_by_key(|c| expected_completion(c, bytes));
-    best.or_else(|| draw_best(candidates.iter().filter(may_be_healthy), bytes, rng))
-        .or_else(|| draw_best(candidates.iter().filter(|c| c.reachable && in_own_region(c)), bytes, rng))
-        .or_else(|| draw_best(candidates.iter(), bytes, rng))
+    let other_region = draw_best::<DRAWN_ELSEWHERE>(
+        candidates.iter().filter(is_usable).filter(|c| !in_own_region(c)),
+        requirements,
+        rng,
+    );
+    let best =
+        [near, other_region].into_iter().flatten().min_by_key(|c| expected_completion(c, requirements));
+    best.or_else(|| draw_best::<DRAWN_ELSEWHERE>(candidates.iter().filter(may_be_healthy), requirements, rng))
+        .or_else(|| {
+            draw_best::<DRAWN_ELSEWHERE>(
+                candidates.iter().filter(|c| c.reachable && in_own_region(c)),
+                requirements,
+                rng,
+            )
+        })
+        .or_else(|| draw_best::<DRAWN_ELSEWHERE>(candidates.iter(), requirements, rng))
         .map(|c| c.index)
 }
 
+/// Mean run time of all requests at an average known server among `candidates`.
+pub fn typical_run(candidates: &[Candidate]) -> Option<Duration> {
+    let known = candidates.iter().filter(|c| c.is_known);
+    let (count, sum) = known.fold((0, Duration::ZERO), |(n, sum), c| (n + 1, sum + c.load.mean_run));
+    sum.checked_div(count).filter(|mean| !mean.is_zero())
+}
+
 /// With the given probability, one of the region's reachable servers for which `is_wanted` is true.
 fn draw_with_probability(
     candidates: &[Candidate],
@@ -177,47 +224,50 @@
     candidates.iter().filter(is_eligible).nth(nth).map(|c| c.index)
 }
 
-/// Draws [`DRAWN_CANDIDATES`] at random, among them always the server of the own instance if it is a
+/// Draws `N` candidates at random, among them always the server of the own instance if it is a
 /// candidate, and returns the one that is expected to finish first.
-fn draw_best<'a>(
+fn draw_best<'a, const N: usize>(
     candidates: impl Iterator<Item = &'a Candidate>,
-    bytes: u64,
+    requirements: &Requirements,
     rng: &mut impl Rng,
 ) -> Option<&'a Candidate> {
-    let mut drawn: SmallVec<[&Candidate; DRAWN_CANDIDATES]> = SmallVec::new();
+    let mut drawn: SmallVec<[&Candidate; N]> = SmallVec::new();
     for (seen, candidate) in candidates.enumerate() {
         if candidate.distance == Distance::SameInstance && seen > 0 {
             drawn.insert(0, candidate);
-            drawn.truncate(DRAWN_CANDIDATES);
+            drawn.truncate(N);
             continue;
         }
-        if drawn.len() < DRAWN_CANDIDATES {
+        if drawn.len() < N {
             drawn.push(candidate);
             continue;
         }
         let slot = rng.random_range(0..=seen);
-        if slot < DRAWN_CANDIDATES && drawn[slot].distance != Distance::SameInstance {
+        if slot < N && drawn[slot].distance != Distance::SameInstance {
             drawn[slot] = candidate;
         }
     }
-    drawn.into_iter().min_by_key(|c| expected_completion(c, bytes))
+    drawn.into_iter().min_by_key(|c| expected_completion(c, requirements))
 }
 
 /// Expected time until the answer of a request that is placed at `candidate`, plus penalties for the distance
-/// that its `bytes` travel.
-pub fn expected_completion(candidate: &Candidate, bytes: u64) -> Duration {
+/// that its bytes travel.
+pub fn expected_completion(candidate: &Candidate, requirements: &Requirements) -> Duration {
     let ServerLoad { running, waiting, slots, mean_run } = candidate.load;
+    let waiting = if requirements.nested { 0 } else { waiting };
     let slots = slots.max(1);
     let present = running + waiting;
     let queued = (present + 1).saturating_sub(slots);
     let wait = mean_run * queued / slots;
+    let slowness = mean_run.as_secs_f64() / requirements.typical_run.as_secs_f64();
+    let run = requirements.expected_run.mul_f64(slowness.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1));
     let use_share = (f64::from(present) / f64::from(slots)).min(1.0);
-    let kilobytes = (bytes / 1_024).min(MAX_KILOBYTES) as u32;
+    let kilobytes = (requirements.bytes / 1_024).min(MAX_KILOBYTES) as u32;
     let penalty = match candidate.distance {
         Distance::SameInstance => Duration::ZERO,
         Distance::SameDataCentre => Duration::from_millis(1),
         Distance::SameRegion => OTHER_DATA_CENTRE_PENALTY + OTHER_DATA_CENTRE_PENALTY_PER_KB * kilobytes,
         Distance::OtherRegion => OTHER_REGION_PENALTY + OTHER_REGION_PENALTY_PER_KB * kilobytes,
     };
-    penalty + wait + mean_run + mean_run.mul_f64(FULL_USE_PENALTY * use_share)
+    penalty + wait + run + run.mul_f64(FULL_USE_PENALTY * use_share)
 }
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -158,10 +158,27 @@
             return Duration::ZERO;
         }
         let own = queue_order(request, now);
-        let ahead = self.waiting.iter().filter(|w| queue_order(&w.request, now) <= own);
-        let queued: Duration = ahead.map(|w| w.request.expected_run).sum();
-        let running: Duration = self.running.iter().map(|r| remaining_run(r, now)).sum();
-        (queued + running) / self.slots.max(1) as u32
+        let ahead = self.waiting.iter().map(|w| &w.request).filter(|r| queue_order(r, now) <= own);
+        let mut free_in = self.slots_free_in(now);
+        for request in ahead {
+            // Each takes the slot that is free first. Their order hardly matters for the time of the last one.
+            if let Some(first) = free_in.iter_mut().min() {
+                *first += request.expected_run;
+            }
+        }
+        free_in.into_iter().min().unwrap_or_default()
+    }
+
+    /// Expected time until each slot is free. There are as many as slots, and at least one; runs beyond a
+    /// lowered number of slots are spread over those that are left.
+    fn slots_free_in(&self, now: Instant) -> SmallVec<[Duration; 8]> {
+        let mut free_in = SmallVec::from_elem(Duration::ZERO, self.slots.max(1));
+        for run in &self.running {
+            if let Some(first) = free_in.iter_mut().min() {
+                *first += remaining_run(run, now);
+            }
+        }
+        free_in
     }
 
     /// Time for which the oldest running request has held its slot.
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -22,7 +22,14 @@
 }
 
 fn requirements() -> Requirements {
-    Requirements { repeatable: false, objective_left: Duration::from_millis(1_500), bytes: 2_000 }
+    Requirements {
+        repeatable: false,
+        nested: false,
+        objective_left: Duration::from_millis(1_500),
+        expected_run: Duration::from_millis(400),
+        typical_run: Duration::from_millis(400),
+        bytes: 2_000,
+    }
 }
 
 /// How often each candidate is chosen in [`ROUNDS`] choices.
@@ -139,8 +146,9 @@
 
 #[test]
 fn the_expected_completion_grows_with_the_backlog() {
-    let idle = expected_completion(&candidate(0, Distance::SameInstance, 0), 0);
-    let full = expected_completion(&candidate(0, Distance::SameInstance, 10), 0);
+    let requirements = Requirements { bytes: 0, ..requirements() };
+    let idle = expected_completion(&candidate(0, Distance::SameInstance, 0), &requirements);
+    let full = expected_completion(&candidate(0, Distance::SameInstance, 10), &requirements);
     assert!(full > idle * 2, "{idle:?} {full:?}");
 }
 
@@ -158,3 +166,49 @@
         Candidate { condition: ServerCondition::Suspect, ..candidate(1, Distance::SameDataCentre, 0) };
     assert_eq!(chosen(&[unknown, suspect], &requirements())[0], ROUNDS);
 }
+
+#[test]
+fn a_nested_request_does_not_mind_the_requests_that_it_passes() {
+    let with_queue = |index, waiting, running| {
+        let plain = candidate(index, Distance::SameDataCentre, running);
+        Candidate { load: ServerLoad { waiting, ..plain.load }, ..plain }
+    };
+    let candidates = [with_queue(0, 20, 4), with_queue(1, 0, 5)];
+    let nested = Requirements { nested: true, ..requirements() };
+    assert_eq!(chosen(&candidates, &nested)[0], ROUNDS);
+    assert_eq!(chosen(&candidates, &requirements())[1], ROUNDS);
+}
+
+#[test]
+fn a_request_stays_in_its_data_centre_when_that_is_near_enough_to_its_objective() {
+    let near = (0..4).map(|n| candidate(n, Distance::SameDataCentre, 5));
+    let idle = (4..8).map(|n| candidate(n, Distance::SameRegion, 0));
+    let candidates: Vec<_> = near.chain(idle).collect();
+    let leave = |objective_ms| {
+        let objective_left = Duration::from_millis(objective_ms);
+        let counts = chosen(&candidates, &Requirements { objective_left, ..requirements() });
+        counts[4..].iter().sum::<usize>()
+    };
+    assert_eq!(leave(1_500), 0);
+    assert_eq!(leave(900), ROUNDS);
+}
+
+#[test]
+fn a_short_call_does_not_leave_servers_that_are_busy_with_long_requests() {
+    let candidates = [candidate(0, Distance::SameDataCentre, 4), candidate(1, Distance::SameRegion, 0)];
+    let call = Requirements {
+        nested: true,
+        objective_left: Duration::from_millis(200),
+        expected_run: Duration::from_millis(80),
+        ..requirements()
+    };
+    assert_eq!(chosen(&candidates, &call)[0], ROUNDS);
+}
+
+#[test]
+fn a_server_that_is_slower_than_others_is_expected_to_take_longer() {
+    let slow = ServerLoad { running: 0, waiting: 0, slots: 5, mean_run: Duration::from_secs(4) };
+    let slow = Candidate { load: slow, ..candidate(0, Distance::SameDataCentre, 0) };
+    let candidates = [slow, candidate(1, Distance::SameDataCentre, 4)];
+    assert_eq!(chosen(&candidates, &requirements())[1], ROUNDS);
+}
--- a/crates/route/tests/slot_queue.rs
+++ b/crates/route/tests/slot_queue.rs
@@ -201,3 +201,31 @@
 
     assert!(share > 0.9, "{share}");
 }
+
+/// A queue of five slots, each with a run that started 20 ms after the one before.
+fn staggered(start: Instant) -> SlotQueue {
+    let mut queue = SlotQueue::new(5);
+    for n in 0..5 {
+        let now = start + Duration::from_millis(20 * n);
+        queue.offer(request(now, 1, 1_000, 5_000), now);
+    }
+    queue
+}
+
+#[test]
+fn the_next_request_waits_for_the_first_run_to_end_not_for_the_mean() {
+    let start = Instant::now();
+    let queue = staggered(start);
+    let now = start + Duration::from_millis(90);
+    let call = SlotRequest { nested: true, ..request(now, 1, 1_000, 5_000) };
+    assert!(queue.expected_wait(&call, now) <= Duration::from_millis(25));
+}
+
+#[test]
+fn a_call_whose_slot_is_free_in_time_is_not_declined_when_all_slots_are_in_use() {
+    let start = Instant::now();
+    let mut queue = staggered(start);
+    let now = start + Duration::from_millis(90);
+    let call = SlotRequest { nested: true, ..request(now, 1, 100, 130) };
+    waiting(queue.offer(call, now));
+}
