Take a refusal only if it names the request

Cause: a 503 with the not-run header, or a 421, without an id was taken for a refusal of the request on that connection. A faulty server that writes an earlier refusal once more, without its id, makes a request run at a second server, or its caller is told that it has not run. Change: an answer that does not echo the request's id is broken, whatever else it says.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -50,9 +50,8 @@
             self.deadline,
         );
         let rep = self.send(req.map(Full::new)).await?;
-        let echoed_id = rep.headers().get(&local_server.header_names.request_id);
-        if echoed_id.is_some() && echoed_id != id.as_ref() {
-            // An answer to another request tells nothing about this one, not even that it was shed.
+        if rep.headers().get(&local_server.header_names.request_id) != id.as_ref() {
+            // An answer that doesn't name this request tells nothing about it, not even that it was shed.
             return Err(self.record_broken());
         }
         if rep.headers().contains_key(&local_server.header_names.not_run)
@@ -62,9 +61,8 @@
             return Err(RunError::declined(DeclineReason::Shed));
         }
         local_server.record_arrival(false);
-        let has_own_id = rep.headers().get(&local_server.header_names.request_id) == id.as_ref();
         let is_signed = rep.headers().contains_key(&local_server.header_names.signature);
-        if !has_own_id || (rep.status().is_success() && !is_signed) {
+        if rep.status().is_success() && !is_signed {
             return Err(self.record_broken());
         }
         self.read_body(rep).await
