Let a daemon outrank its earlier processes after its clock was set back

Cause: processes on one address are told apart by the wall clock of their start. After the clock was set back, a restarted daemon counted as an earlier process: the others took its status messages for delayed ones, and its server got no work until the daemon was removed after 20 s of silence. Change: a daemon that gets a status of an earlier process answers which incarnation it knows, and the sender counts as later than that one; so it does for the incarnation in its own row of the directory. Test peers states the new outcomes where it had true and false.

--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -155,8 +155,7 @@
 
 /// Removes this daemon from the directory, because its server has left and the instance will be removed too.
 async fn leave_directory(node: &Rc<Node>, gossip: &Gossip, table: &dyn Table) {
-    let own =
-        RemovedPeer { addr: node.identity.addr, incarnation: node.identity.incarnation, forward: false };
+    let own = RemovedPeer { addr: node.identity.addr, incarnation: node.incarnation(), forward: false };
     let removed = timeout(LEAVE_DIRECTORY_TIMEOUT, directory::remove_daemon(node, gossip, table, own)).await;
     if removed.is_err() {
         event!(Warn, StoreDown, "purpose=directory outcome=timeout");
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -36,6 +36,8 @@
         /// The digest.
         digest: Digest,
     },
+    /// The receiver's address is known to belong to a later process, with this incarnation.
+    Superseded(Incarnation),
 }
 
 /// Introduction of a daemon, with its current status.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -240,6 +240,7 @@
     for (key, row) in rows {
         match decode_row(&key, &row.value, latest_start) {
             Ok(DirectoryRow { peer_info, departures }) if peer_info.addr == own.addr => {
+                node.supersede(peer_info.incarnation);
                 found.has_own_row = peer_info.place == own.place && peer_info.service == own.service;
                 if !node.has_read_directory.get() {
                     node.stored_departures.replace(departures.clone());
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -19,6 +19,7 @@
 use crate::datagram::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
 use crate::digest::Digest;
 use crate::node::Node;
+use crate::peers::StatusOutcome;
 
 /// Interval at which one daemon sends digests to the other data centres.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -142,15 +143,15 @@
     match datagram {
         Datagram::Hello(hello) => handle_hello(node, gossip, from, hello, now),
         Datagram::Status(status) => {
-            if node.peers.borrow_mut().apply_status(from, &status, now) {
-                node.update_rate_shares();
-                apply_config_status(node, &status);
-            } else {
-                gossip.send_datagram(from, &Datagram::Hello(node.hello(&from, true, false)));
-            }
+            let outcome = node.peers.borrow_mut().apply_status(from, &status, now);
+            handle_status_outcome(node, gossip, from, outcome, &status);
         }
         Datagram::Digest { origin, digest } => handle_digest(node, gossip, from, origin, digest, now),
         Datagram::Peer(peer_info) => handle_peer_info(node, &peer_info, now),
+        Datagram::Superseded(earlier) => {
+            node.supersede(earlier);
+            node.status_changed.notify_one();
+        }
         Datagram::Removed(removed) => handle_removal(node, gossip, removed),
         Datagram::TokenRequest(customer, amount) => {
             let tokens = node.token_buckets.borrow_mut().give_tokens(&customer, amount, now);
@@ -197,10 +198,34 @@
     }
 }
 
+fn handle_status_outcome(
+    node: &Node,
+    gossip: &Gossip,
+    from: DaemonId,
+    outcome: StatusOutcome,
+    status: &Status,
+) {
+    match outcome {
+        StatusOutcome::Applied => {
+            node.update_rate_shares();
+            apply_config_status(node, status);
+        }
+        StatusOutcome::UnknownProcess => {
+            gossip.send_datagram(from, &Datagram::Hello(node.hello(&from, true, false)));
+        }
+        StatusOutcome::EarlierProcess { known } => {
+            gossip.send_datagram(from, &Datagram::Superseded(known));
+        }
+    }
+}
+
 fn handle_hello(node: &Rc<Node>, gossip: &Gossip, from: SocketAddr, hello: Hello, now: Instant) {
     let (wants_answer, forward) = (hello.wants_answer, hello.forward);
     let (peer_info, status) = (hello.peer_info.clone(), hello.status.clone());
-    let is_new = node.peers.borrow_mut().apply_hello(from, hello, now);
+    let (outcome, is_new) = node.peers.borrow_mut().apply_hello(from, hello, now);
+    if let StatusOutcome::EarlierProcess { known } = outcome {
+        gossip.send_datagram(from, &Datagram::Superseded(known));
+    }
     if is_new {
         on_new_peer(node, &peer_info);
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -72,6 +72,8 @@
 pub struct Node {
     /// Address, process and place of this daemon.
     pub identity: Identity,
+    /// At least the incarnation in `identity`, and above those that other daemons know of earlier processes.
+    incarnation: Cell<Incarnation>,
     /// Header names of this deployment.
     pub header_names: Rc<HeaderNames>,
     /// Limits that operators set for the fleet.
@@ -163,10 +165,29 @@
             answer_by: Cell::new(None),
             active_requests: Cell::new(0),
             bounds,
+            incarnation: Cell::new(identity.incarnation),
             identity,
         }
     }
 
+    /// Incarnation of this process, above those of earlier processes on its address.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.get()
+    }
+
+    /// Makes this process count as later than the one with the incarnation `earlier`, which had a faster clock.
+    pub(crate) fn supersede(&self, earlier: Incarnation) {
+        if earlier > self.incarnation.get() {
+            event!(
+                Warn,
+                MemberUp,
+                "source=clock-set-back incarnation={} earlier={earlier}",
+                self.incarnation()
+            );
+            self.incarnation.set(earlier.saturating_add(1));
+        }
+    }
+
     /// The configuration in force, if there is one.
     pub fn conf(&self) -> Option<Arc<Snapshot>> {
         self.snapshot.borrow().clone()
@@ -307,7 +328,7 @@
         let report = self.local_server.report(now);
         let report = if may_probe { report } else { report.without_probation() };
         Status {
-            incarnation: self.identity.incarnation,
+            incarnation: self.incarnation(),
             report,
             version: self.conf_version(),
             proof_age_ms: self.proof_age().map(|age| age.as_millis() as u32 + 1),
@@ -338,7 +359,7 @@
         let identity = &self.identity;
         PeerInfo {
             addr: identity.addr,
-            incarnation: identity.incarnation,
+            incarnation: self.incarnation(),
             place: identity.place.clone(),
             service: self.service(),
         }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -14,7 +14,7 @@
 use route::placement::{Candidate, Distance};
 
 use crate::clock::BootTime;
-use crate::datagram::{Hello, PeerInfo, RemovedPeer, Status};
+use crate::datagram::{Hello, Incarnation, PeerInfo, RemovedPeer, Status};
 use crate::handoff::ServerReport;
 use crate::peer::Peer;
 
@@ -50,6 +50,20 @@
 /// Time after a failed hand-off before the same daemon gets work again.
 const PATH_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Result of [`Peers::apply_status`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatusOutcome {
+    /// The status was applied.
+    Applied,
+    /// The process is not known and should introduce itself.
+    UnknownProcess,
+    /// The status is a delayed one of an earlier process, or the daemon's clock has been set back.
+    EarlierProcess {
+        /// Latest known incarnation on the address.
+        known: Incarnation,
+    },
+}
+
 /// Table of all other daemons.
 #[derive(Debug)]
 pub struct Peers {
@@ -83,29 +97,31 @@
         }
     }
 
-    /// Applies a daemon's introduction; true if its process was not known.
-    pub fn apply_hello(&mut self, from: DaemonId, hello: Hello, now: Instant) -> bool {
+    /// Applies a daemon's introduction. Also returns whether its process was not known.
+    pub fn apply_hello(&mut self, from: DaemonId, hello: Hello, now: Instant) -> (StatusOutcome, bool) {
         let Hello { peer_info, status, .. } = hello;
         let service = peer_info.service.clone();
         let is_new = self.add_peer(PeerInfo { addr: from, ..peer_info }, now);
         if let Some(peer) = self.by_addr.get_mut(&from).filter(|p| p.incarnation == status.incarnation) {
             peer.service = service;
         }
-        self.apply_status(from, &status, now);
-        is_new
+        (self.apply_status(from, &status, now), is_new)
     }
 
-    /// Applies a daemon's status; false if its process is not known and should introduce itself.
-    pub fn apply_status(&mut self, from: DaemonId, status: &Status, now: Instant) -> bool {
+    /// Applies a daemon's status.
+    pub fn apply_status(&mut self, from: DaemonId, status: &Status, now: Instant) -> StatusOutcome {
         let Some(peer) = self.by_addr.get_mut(&from) else {
-            return from == self.own_addr;
+            return if from == self.own_addr {
+                StatusOutcome::Applied
+            } else {
+                StatusOutcome::UnknownProcess
+            };
         };
         if status.incarnation < peer.incarnation {
-            // A delayed datagram of an earlier process.
-            return true;
+            return StatusOutcome::EarlierProcess { known: peer.incarnation };
         }
         if status.incarnation > peer.incarnation {
-            return false;
+            return StatusOutcome::UnknownProcess;
         }
         peer.apply_report(status.report, now);
         peer.version = status.version;
@@ -117,7 +133,7 @@
         if status.receives_from_you {
             peer.path_down_until = None;
         }
-        true
+        StatusOutcome::Applied
     }
 
     /// Records the report that came with a daemon's answer.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -576,6 +576,20 @@
         start_daemon(identity, Rc::clone(&old.backend), &self.source, &self.rows, bind_sockets().await)
     }
 
+    /// Starts a new process of a daemon on the same sockets, whose clock has been set back since the old one
+    /// started.
+    pub async fn restart_with_earlier_clock(&self, old: Daemon) -> Daemon {
+        old.stop.cancel();
+        old.ended.cancelled().await;
+        let identity = Identity { incarnation: 0, ..old.node.identity.clone() };
+        let backend = Rc::clone(&old.backend);
+        // The node holds the socket for datagrams.
+        drop(old);
+        let tcp = TcpListener::bind(identity.addr).await.expect("the old daemon has closed it");
+        let udp = UdpSocket::bind(identity.addr).await.expect("the old daemon has closed it");
+        start_daemon(identity, backend, &self.source, &self.rows, (tcp, udp))
+    }
+
     /// Number of requests that all servers ran.
     pub fn runs(&self) -> usize {
         self.daemons.iter().map(Daemon::runs).sum()
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -7,7 +7,7 @@
 use relay::clock::BootTime;
 use relay::datagram::{PeerInfo, RemovedPeer, Status};
 use relay::handoff::ServerReport;
-use relay::peers::Peers;
+use relay::peers::{Peers, StatusOutcome};
 use route::placement::{Candidate, ServerCondition};
 
 fn addr(n: u16) -> SocketAddr {
@@ -109,7 +109,8 @@
     let mut peers = peers(now);
     let newer = PeerInfo { incarnation: 2, ..peer_info(1, "meseta", "barva") };
     assert!(peers.add_peer(newer, now));
-    assert!(peers.apply_status(addr(1), &status(50, true), now));
+    let outcome = peers.apply_status(addr(1), &status(50, true), now);
+    assert_eq!(outcome, StatusOutcome::EarlierProcess { known: 2 });
     assert!(!is_reachable(&peers, 1, now));
 }
 
@@ -117,7 +118,8 @@
 fn a_status_of_an_unknown_process_asks_for_an_introduction() {
     let now = Instant::now();
     let mut peers = peers(now);
-    assert!(!peers.apply_status(addr(99), &status(50, true), now));
+    let outcome = peers.apply_status(addr(99), &status(50, true), now);
+    assert_eq!(outcome, StatusOutcome::UnknownProcess);
 }
 
 #[test]
