Count what choices rest on, and tell an unknown fleet from a customer over its rate

Cause: no metric told how old the reports behind choices are, where hand-offs go, how long refusals take, or what the datagrams cost.

Change: metrics of hand-offs by distance, age of reports, time until a refusal, bytes of datagrams by kind; 503 with Retry-After until the directory is read; daemons beyond the first four of a data centre back off to 3 s. Result: a_customer_is_not_told_that_it_exceeds_its_rate_before_the_fleet_is_known. The calls saved are not measured yet.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -146,7 +146,7 @@
         let Some(req) = self.link_request() else {
             return AttemptOutcome::Failed(RunError::declined(DeclineReason::Unreachable));
         };
-        self.node.peers.borrow_mut().record_handoff(to, Instant::now());
+        self.record_handoff();
         match self.node.links.send_request(to, req).await {
             Ok(rep) => self.handle_response(rep).await,
             Err(e) => {
@@ -160,6 +160,20 @@
         }
     }
 
+    /// Counts the hand-off, with its distance and the age of the report by which the daemon was chosen.
+    fn record_handoff(&self) {
+        let now = Instant::now();
+        let mut peers = self.node.peers.borrow_mut();
+        let metrics = &self.node.metrics;
+        if let Some(distance) = peers.distance(&self.to) {
+            metrics.handoffs.with_label_values(&[&distance.to_string()]).inc();
+        }
+        if let Some(age) = peers.report_age(&self.to, now) {
+            metrics.report_age_seconds.observe(age.as_secs_f64());
+        }
+        peers.record_handoff(self.to, now);
+    }
+
     /// Turns the request into the form that is sent to other daemons: HTTP/2, with the host in the target and
     /// the [`Handoff`] as a header. Takes `self.req`; `None` without a valid host.
     fn link_request(&mut self) -> Option<Request<Full<Bytes>>> {
--- a/crates/relay/src/config_refresh.rs
+++ b/crates/relay/src/config_refresh.rs
@@ -25,6 +25,10 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest delay after a failed query.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Number of lowest-ranked daemons of a data centre that ask often whether the store answers again.
+const FREQUENT_READERS: usize = 4;
+/// Longest delay after a failed query of all other daemons, to which those tell it.
+const MAX_BACKOFF_OF_OTHERS: Duration = Duration::from_secs(3);
 /// Age of the proof at which the daemon with the second-lowest rank in its data centre asks the store.
 const SECOND_READER_AGE: Duration = Duration::from_millis(1_600);
 /// Difference between the proof ages at which daemons of two successive ranks ask the store.
@@ -131,8 +135,10 @@
                 event!(Warn, StoreDown, "error={e}");
             }
             store.is_up = false;
-            sleep(store.backoff).await;
-            store.backoff = (store.backoff * 2).min(MAX_BACKOFF);
+            let is_reader = node.peers.borrow().rank_in_centre(Instant::now()) < FREQUENT_READERS;
+            let max_backoff = if is_reader { MAX_BACKOFF } else { MAX_BACKOFF_OF_OTHERS };
+            sleep(store.backoff.min(max_backoff)).await;
+            store.backoff = (store.backoff * 2).min(max_backoff);
         }
     }
 }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -83,7 +83,7 @@
     stop: CancellationToken,
 ) {
     let closing = CancellationToken::new();
-    let gossip = Rc::new(Gossip::new(sockets.datagrams));
+    let gossip = Rc::new(Gossip::new(sockets.datagrams, node.metrics.datagram_bytes.clone()));
     node.gossip.replace(Some(Rc::clone(&gossip)));
     node.table.replace(Some(Rc::clone(&table)));
     let connections = Connections::default();
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -40,6 +40,19 @@
     Superseded(Incarnation),
 }
 
+impl Datagram {
+    /// What the datagram is for, as a label of metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Datagram::Hello(_) | Datagram::Peer(_) | Datagram::Superseded(_) => "introduction",
+            Datagram::Status(_) => "status",
+            Datagram::Removed(_) => "removal",
+            Datagram::TokenRequest(..) | Datagram::TokenGrants(_) => "tokens",
+            Datagram::Digest { .. } => "digest",
+        }
+    }
+}
+
 /// Introduction of a daemon, with its current status.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,6 +11,7 @@
 
 use base::{CustomerId, DaemonId, event};
 use limit::TransferAmount;
+use prometheus::IntCounterVec;
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
@@ -42,21 +43,22 @@
 #[derive(Debug)]
 pub struct Gossip {
     socket: UdpSocket,
+    /// Bytes sent, by kind of datagram.
+    sent_bytes: IntCounterVec,
 }
 
 impl Gossip {
-    /// Gossips over a bound socket.
-    pub fn new(socket: UdpSocket) -> Self {
-        Self { socket }
+    /// Gossips over a bound socket, and counts the bytes of each kind in `sent_bytes`.
+    pub fn new(socket: UdpSocket, sent_bytes: IntCounterVec) -> Self {
+        Self { socket, sent_bytes }
     }
 
     fn send_datagram(&self, to: DaemonId, datagram: &Datagram) {
         match postcard::to_stdvec(datagram) {
-            Ok(bytes) => {
-                if let Err(e) = self.socket.try_send_to(&bytes, to) {
-                    log::debug!("datagram to {to} not sent: {e}");
-                }
-            }
+            Ok(bytes) => match self.socket.try_send_to(&bytes, to) {
+                Ok(len) => self.sent_bytes.with_label_values(&[datagram.kind()]).inc_by(len as u64),
+                Err(e) => log::debug!("datagram to {to} not sent: {e}"),
+            },
             Err(e) => log::error!("datagram to {to} can't be encoded: {e}"),
         }
     }
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -126,7 +126,9 @@
 ) -> Response<Body> {
     let refusal = refused.refusal;
     node.metrics.refusals.with_label_values(&[refusal.code()]).inc();
-    let after_ms = started.elapsed().as_millis();
+    let after = started.elapsed();
+    node.metrics.refusal_seconds.with_label_values(&[refusal.code()]).observe(after.as_secs_f64());
+    let after_ms = after.as_millis();
     let proof_ms = node.proof_age().map_or(-1, |age| age.as_millis() as i64);
     let (reason, run, version) = (refusal.code(), refusal.executed(), node.conf_version());
     let customer = refused.customer.as_deref().unwrap_or("-");
@@ -302,6 +304,10 @@
         let next_request_at = Instant::now() + own_wait.min(TOKEN_REQUEST_INTERVAL);
         let arrived = timeout_at(until.min(next_request_at).into(), node.admission_changed.notified()).await;
         if arrived.is_err() && until <= next_request_at {
+            if !node.has_read_directory.get() {
+                // The customer's part of its rate is not known yet, so this says nothing of the customer.
+                return Err(RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER));
+            }
             let refused = RequestRefusal::after(Refusal::OverRate, own_wait);
             return Err(RequestRefusal { customer: Some(customer.clone()), ..refused });
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of one daemon in the Prometheus format.
 
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the buckets for request times, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0];
@@ -15,6 +17,14 @@
     pub refusals: IntCounterVec,
     /// Hand-offs that were declined, by reason.
     pub declines: IntCounterVec,
+    /// Hand-offs to other daemons, by the distance of their servers.
+    pub handoffs: IntCounterVec,
+    /// Age of the report by which a server was chosen, in seconds.
+    pub report_age_seconds: Histogram,
+    /// Time until a request was refused, in seconds, by reason.
+    pub refusal_seconds: HistogramVec,
+    /// Bytes of datagrams sent to other daemons, by what they are for.
+    pub datagram_bytes: IntCounterVec,
     /// Retries and hedges, by reason.
     pub retries: IntCounterVec,
     /// Answers that were not sent completely when their connection ended, by what was missing.
@@ -35,25 +45,38 @@
             registry.register(Box::new(metric.clone())).expect("the name is registered once");
             metric
         };
-        let by_reason = |name: &str, help: &str| {
-            let metric = IntCounterVec::new(Opts::new(name, help), &["reason"]);
+        let by_label = |name: &str, help: &str, label: &str| {
+            let metric = IntCounterVec::new(Opts::new(name, help), &[label]);
             let metric = metric.expect("the name is a valid metric name");
             registry.register(Box::new(metric.clone())).expect("the name is registered once");
             metric
         };
-        let opts = HistogramOpts::new("pomelo_request_seconds", "Time from request to answer.");
-        let request_seconds = Histogram::with_opts(opts.buckets(LATENCY_BOUNDS_S.to_vec()));
-        let request_seconds = request_seconds.expect("the bucket bounds are in ascending order");
-        registry.register(Box::new(request_seconds.clone())).expect("the name is registered once");
+        let by_reason = |name: &str, help: &str| by_label(name, help, "reason");
+        let latency_opts =
+            |name: &str, help: &str| HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS_S.to_vec());
+        let histogram = |name: &str, help: &str| {
+            let metric = Histogram::with_opts(latency_opts(name, help));
+            let metric = metric.expect("the bucket bounds are in ascending order");
+            registry.register(Box::new(metric.clone())).expect("the name is registered once");
+            metric
+        };
+        let refusal_opts = latency_opts("pomelo_refusal_seconds", "Time from request to refusal.");
+        let refusal_seconds = HistogramVec::new(refusal_opts, &["reason"]);
+        let refusal_seconds = refusal_seconds.expect("the bucket bounds are in ascending order");
+        registry.register(Box::new(refusal_seconds.clone())).expect("the name is registered once");
         Self {
             requests: counter("pomelo_requests_total", "Requests of callers."),
             refusals: by_reason("pomelo_refusals_total", "Requests that the daemon answered itself."),
+            handoffs: by_label("pomelo_handoffs_total", "Hand-offs to other daemons.", "distance"),
+            report_age_seconds: histogram("pomelo_report_age_seconds", "Age of the report behind a choice."),
+            refusal_seconds,
+            datagram_bytes: by_label("pomelo_datagram_bytes_total", "Bytes of datagrams sent.", "kind"),
             declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
             answers_cut: by_reason("pomelo_answers_cut_total", "Answers that were not sent whole."),
             cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
-            request_seconds,
+            request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
         }
     }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -346,14 +346,23 @@
         (addrs, candidates)
     }
 
-    fn candidate(&self, peer: &Peer, index: usize, now: Instant) -> Candidate {
-        let distance = if peer.place == self.place {
+    /// Distance of a daemon's instance; `None` if the daemon is not known.
+    pub fn distance(&self, addr: &DaemonId) -> Option<Distance> {
+        self.by_addr.get(addr).map(|peer| self.distance_to(&peer.place))
+    }
+
+    fn distance_to(&self, place: &Place) -> Distance {
+        if *place == self.place {
             Distance::SameDataCentre
-        } else if peer.place.region == self.place.region {
+        } else if place.region == self.place.region {
             Distance::SameRegion
         } else {
             Distance::OtherRegion
-        };
+        }
+    }
+
+    fn candidate(&self, peer: &Peer, index: usize, now: Instant) -> Candidate {
+        let distance = self.distance_to(&peer.place);
         let is_down = peer.path_down_until.is_some_and(|until| now < until);
         let is_connected = distance > Distance::SameDataCentre
             || (peer.receives_from_us && self.has_recent_status(&peer.addr, now));
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -211,7 +211,11 @@
 
 /// The store's rows in memory.
 #[derive(Debug, Default)]
-pub struct Rows(Mutex<MemStore>);
+pub struct Rows {
+    store: Mutex<MemStore>,
+    /// Whether every call fails.
+    is_down: bool,
+}
 
 impl Rows {
     /// Rows that another writer has left.
@@ -224,8 +228,16 @@
         left
     }
 
+    /// Rows that can't be read or written.
+    pub fn down() -> Self {
+        Self { is_down: true, ..Self::default() }
+    }
+
     fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).apply(op)
+        if self.is_down {
+            return Err(StoreError::Down);
+        }
+        self.store.lock().unwrap_or_else(PoisonError::into_inner).apply(op)
     }
 }
 
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -4,7 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Act, KEY, conf, conf_with_callee, eventually, fleet, on_one_thread, request, snapshot, status};
+use common::{
+    Act, Backend, KEY, Rows, conf, conf_with_callee, eventually, fleet, fleet_with_rows, on_one_thread,
+    request, snapshot, status,
+};
 use conf::{KeyHasher, Snapshot};
 use relay::handoff::{Handoff, Repetition};
 use rstest::rstest;
@@ -117,6 +120,17 @@
     });
 }
 
+#[test]
+fn a_customer_is_not_told_that_it_exceeds_its_rate_before_the_fleet_is_known() {
+    on_one_thread(async {
+        let backends = vec![Backend::start(&[Act::Answer]).await];
+        let fleet = fleet_with_rows(backends, conf, Rows::down()).await;
+        let rep = fleet.daemons[0].get("/stock/a", "r1").await;
+        assert_eq!(status(&rep), 503, "{rep}");
+        assert!(rep.contains("retry-after"), "{rep}");
+    });
+}
+
 #[rstest]
 #[case::after_a_call_failed(true)]
 #[case::without_a_call(false)]
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -17,6 +17,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -47,15 +48,19 @@
 const PROBE_PROBABILITY: f64 = 0.3;
 
 /// Distance of a server from this daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
     /// On this daemon's instance.
+    #[display("instance")]
     SameInstance,
     /// On another instance of the data centre.
+    #[display("data-centre")]
     SameDataCentre,
     /// In another data centre of the region.
+    #[display("region")]
     SameRegion,
     /// In another region.
+    #[display("other-region")]
     OtherRegion,
 }
 
