Move requests until their deadline again, and leave the data centre sooner

Change: the bound is taken back; a server of the own data centre has to finish within 0.3 of the time left to the objective, not half.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -288,8 +288,7 @@
     async fn choose_daemon(&mut self) -> Option<DaemonId> {
         let wait_until = Instant::now() + FIRST_SERVER_WAIT.min(self.admitted.route.objective / 8);
         loop {
-            let is_held_long = self.declines > 0 && Instant::now() > self.admitted.move_until;
-            if self.declines >= MAX_DECLINES || is_held_long {
+            if self.declines >= MAX_DECLINES {
                 return None;
             }
             if let Some((to, is_last_resort)) = self.choose_from_known() {
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -26,8 +26,6 @@
 
 /// Longest time for which a request waits for a recent proof, or for tokens, before it is refused.
 const ADMIT_WAIT: Duration = Duration::from_millis(120);
-/// Part of the time that its caller allows in which a request that waits in vain is moved to another server.
-const MOVABLE_PART: f64 = 0.5;
 /// Interval at which tokens are requested again from other daemons while a request waits for one.
 const TOKEN_REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 /// Lower bound of the delay after which a refused caller is asked to try again.
@@ -71,9 +69,6 @@
     /// When the answer is due by the route's latency objective.
     pub(crate) objective_at: Instant,
     pub(crate) deadline: Instant,
-    /// Time after which a request that was declined goes to no other server: it could be served at best late,
-    /// and its caller should know.
-    pub(crate) move_until: Instant,
     /// Head for the server: without hop-by-hop headers, the API key, and headers that only daemons may set.
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
@@ -191,10 +186,7 @@
     let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
     let (conf, route) = find_route(node, conf, &head)?;
     let customer = authenticate(node, &conf, &route, &head.headers).await?;
-    let time_left = request_timeout(node, &head.headers, &route)?;
-    // Requests on open routes are calls of running requests, which can't come back later.
-    let movable_part = if route.open { 1.0 } else { MOVABLE_PART };
-    let (deadline, move_until) = (now + time_left, now + time_left.mul_f64(movable_part));
+    let deadline = now + request_timeout(node, &head.headers, &route)?;
     if let Some(customer) = &customer {
         take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
     }
@@ -211,18 +203,7 @@
     let route_hash = base::rendezvous::stable_hash(route.name.as_bytes()) as u32;
     let objective_at = now + route.objective;
     sanitize_head(node, &mut head)?;
-    Ok(Admitted {
-        route,
-        route_hash,
-        service,
-        customer,
-        priority,
-        objective_at,
-        deadline,
-        move_until,
-        head,
-        body,
-    })
+    Ok(Admitted { route, route_hash, service, customer, priority, objective_at, deadline, head, body })
 }
 
 fn request_id_bytes<'a>(node: &Node, headers: &'a HeaderMap) -> &'a [u8] {
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -52,9 +52,6 @@
 const MIN_SLOT_WAIT: Duration = Duration::from_millis(150);
 /// Multiple of the expected wait for a slot after which a waiting request is declined.
 const SLOT_WAIT_FACTOR: u32 = 2;
-/// Part of the time until its deadline for which a request waits for a slot at most, unless it is nested: the
-/// caller of such a request can't come back later.
-const MAX_WAIT_PART: f64 = 0.5;
 /// Multiple of its expected run time that a request must have left to start while the daemon stops, since run
 /// times on one route vary.
 const STOP_RUN_TIME_FACTOR: u32 = 2;
@@ -317,10 +314,7 @@
             return Ok(run);
         };
         let max_wait = (pending.free_in * SLOT_WAIT_FACTOR).max(MIN_SLOT_WAIT);
-        let time_left = deadline.saturating_duration_since(now);
-        let wait_part = if handoff.nested { 1.0 } else { MAX_WAIT_PART };
-        let max_wait = max_wait.min(time_left.mul_f64(wait_part));
-        match timeout_at((now + max_wait).into(), pending.receiver).await {
+        match timeout_at((now + max_wait).min(deadline).into(), pending.receiver).await {
             Ok(Ok(true)) => {
                 run.restart_clock(Instant::now());
                 Ok(run)
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -28,7 +28,7 @@
 const DRAWN_ELSEWHERE: usize = 2;
 /// Part of the time left to the objective within which a server of this data centre must be expected to finish
 /// for no other data centre to be considered.
-const NEAR_ENOUGH_PART: f64 = 0.5;
+const NEAR_ENOUGH_PART: f64 = 0.3;
 /// Bounds of the factor by which a server is taken to be slower than others.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Penalty on the expected completion in another data centre of the region.
