Ignore a start that no process can have

Cause: one datagram with a start near 2^64 would raise a daemon's incarnation to a value that its row may not have. Change: the same bound as for rows of the directory. Result: a_start_that_no_process_can_have_does_not_raise_the_incarnation.

--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -75,9 +75,9 @@
         choose_servers(&peers, SERVERS_PER_DECLINE, now, rng)
     }
 
-    /// Applies a digest of the data centre of the daemon `origin`. Servers there that it doesn't name are no longer
-    /// known, unless they have answered since. True if the
-    /// digest is of another data centre than this one.
+    /// Applies a digest of the data centre of the daemon `origin`; true if that is another one than this
+    /// daemon's. Servers there that the digest doesn't name are no longer known, unless they have answered
+    /// since.
     pub fn apply_digest(&mut self, origin: &DaemonId, digest: &Digest, now: Instant) -> bool {
         let Some(peer) = self.by_addr.get_mut(origin).filter(|p| p.place != self.place) else {
             return false;
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -233,8 +233,7 @@
 async fn read_rows(node: &Node, table: &dyn Table) -> Result<DirectoryScan, StoreError> {
     let rows = table.range(KEY_PREFIX).await?;
     let now = Instant::now();
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let latest_start = (since_epoch + MAX_CLOCK_DIFFERENCE).as_millis() as Incarnation;
+    let latest_start = latest_start();
     let own = node.peer_info();
     let mut found = DirectoryScan { new_peers: Vec::new(), has_own_row: false };
     for (key, row) in rows {
@@ -263,6 +262,12 @@
     Ok(found)
 }
 
+/// Latest start that a process can have by this instance's clock.
+pub fn latest_start() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (since_epoch + MAX_CLOCK_DIFFERENCE).as_millis() as Incarnation
+}
+
 /// Decodes the row under `key`. The daemon that it describes must not have started after `latest_start`.
 fn decode_row(key: &str, value: &str, latest_start: Incarnation) -> Result<DirectoryRow, RowError> {
     let row: DirectoryRow = serde_json::from_str(value)?;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,6 +22,7 @@
 use crate::config_refresh::FetchedConfig;
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
 use crate::digest::{Digest, RelayedReport};
+use crate::directory;
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::header_names::HeaderNames;
@@ -176,8 +177,9 @@
     }
 
     /// Makes this process count as later than the one with the incarnation `earlier`, which had a faster clock.
+    /// Ignored if no process can have started then.
     pub(crate) fn supersede(&self, earlier: Incarnation) {
-        if earlier > self.incarnation.get() {
+        if earlier > self.incarnation.get() && earlier <= directory::latest_start() {
             event!(
                 Warn,
                 MemberUp,
