Count silent daemons in one place, and correct comments of the digests

Cause: the digest counted silent daemons with a constant and a closure of its own, the same as those of the division of rates; a comment named the wrong writers of a report. Change: one function for both; comments only besides. Behaviour is the same.

--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -26,8 +26,6 @@
 const SERVERS_PER_DECLINE: usize = 3;
 /// Longest time for which the origin of a digest has not known a change when the digest arrives.
 const DIGEST_LAG: Duration = Duration::from_millis(500);
-/// Time of silence after which a daemon is reported as silent to other data centres.
-const SILENT_AFTER: Duration = Duration::from_secs(4);
 
 /// A report on a server that comes from another daemon than the one beside the server.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -63,10 +61,7 @@
             servers.extend(choose_servers(peers, MAX_SERVERS_PER_SERVICE, now, rng));
         }
         servers.truncate(MAX_SERVERS_PER_DIGEST);
-        let is_silent =
-            |p: &&Peer| p.last_status_at.is_some_and(|at| now.saturating_duration_since(at) > SILENT_AFTER);
-        let silent_daemons = self.peers_in_centre().filter(is_silent).count() as u16;
-        Digest { version, silent_daemons, servers }
+        Digest { version, silent_daemons: self.silent_in_centre(now) as u16, servers }
     }
 
     /// A few servers of `service` in this data centre, for a daemon whose request for it was declined here.
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -19,7 +19,8 @@
 pub static RUN_ERROR_HEADER: HeaderName = HeaderName::from_static("x-pomelo-verdict");
 /// Header that carries a [`ServerReport`], set on every answer by the daemon beside the server.
 pub static REPORT_HEADER: HeaderName = HeaderName::from_static("x-pomelo-report");
-/// Header that carries a list of [`RelayedReport`](crate::digest::RelayedReport), set when a request is declined.
+/// Header that carries a list of [`RelayedReport`](crate::digest::RelayedReport), set by the daemon that declines a
+/// request.
 pub static ALTERNATIVES_HEADER: HeaderName = HeaderName::from_static("x-pomelo-servers");
 /// Header that carries the age of the proof that the configuration in the body is the newest one, set by the
 /// daemon that sends the configuration.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,10 +5,10 @@
 //! [`delivery`]) and hands it to the daemon beside a server that it chooses ([`attempts`], [`links`],
 //! [`handoff`]). There the request waits for a slot and runs ([`local_server`], [`slot`], [`pool`]).
 //!
-//! Daemons find each other through rows of the store ([`directory`]) and exchange their status over UDP
-//! ([`gossip`], [`peers`]), and digests of it between data centres ([`digest`]). [`config_refresh`] and [`freshness`] keep the configuration current and track how
-//! recently it was proven to be the newest one. All state of a daemon is a [`node::Node`], which lives on a
-//! single thread.
+//! Daemons find each other through rows of the store ([`directory`]). Those of one data centre exchange their
+//! status over UDP ([`gossip`], [`peers`]), and data centres exchange digests of it ([`digest`]).
+//! [`config_refresh`] and [`freshness`] keep the configuration current and track how recently it was proven to
+//! be the newest one. All state of a daemon is a [`node::Node`], which lives on a single thread.
 //!
 //! ```
 //! use relay::registration::{Heartbeat, HeartbeatOutcome, Registration};
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -25,10 +25,10 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) place: Place,
     pub(crate) service: ServiceId,
-    /// Latest report on the daemon's server. Only [`Self::apply_report`] and [`Self::apply_older_report`]
-    /// change it, together with `reported_at`.
+    /// Latest report on the daemon's server. Replaced only together with `reported_at`; a hand-off takes back
+    /// its wish for a probe.
     pub(crate) report: Option<ServerReport>,
-    /// When `report` was made, as far as this daemon can tell.
+    /// When `report` was made, as far as this daemon can tell; `None` if the report is no longer relied on.
     pub(crate) reported_at: Option<Instant>,
     /// Version of the daemon's configuration; 0 if not known.
     pub(crate) version: Version,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -286,15 +286,20 @@
     pub fn rate_divisor(&self, now: Instant) -> u32 {
         let alive = self.peers_in_centre().filter(|p| self.has_recent_status(&p.addr, now));
         let known = alive.map(|p| p.member_count).fold(self.member_count(), u32::max);
-        let is_silent = |p: &&Peer| {
-            p.last_status_at.is_some_and(|at| now.saturating_duration_since(at) > SHARE_RELEASED_AFTER)
-        };
-        let silent_here = self.peers_in_centre().filter(is_silent).count() as u32;
+        let silent_here = self.silent_in_centre(now) as u32;
         let silent = silent_here + self.silent_elsewhere.values().map(|n| u32::from(*n)).sum::<u32>();
         let min_divisor = (f64::from(known) * (1.0 - MAX_RELEASED_SHARE)).ceil() as u32;
         known.saturating_sub(silent).max(min_divisor)
     }
 
+    /// Number of daemons of this data centre whose share of the rates may be released.
+    pub(crate) fn silent_in_centre(&self, now: Instant) -> usize {
+        let is_silent = |p: &&Peer| {
+            p.last_status_at.is_some_and(|at| now.saturating_duration_since(at) > SHARE_RELEASED_AFTER)
+        };
+        self.peers_in_centre().filter(is_silent).count()
+    }
+
     /// Rank of this daemon by address among the daemons of its data centre that are not silent or were added
     /// recently. Tasks that one or a few daemons do for the whole data centre are left to the lowest ranks.
     pub fn rank_in_centre(&self, now: Instant) -> usize {
