Show that large requests within the limits take a daemon over its memory

Cause: a daemon holds the whole body of each request until it is answered; each body is bounded by the configuration, their sum by nothing.

Nothing of the project is changed.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod store;
 
 mod departure;
+mod uploads;
 
 use std::path::Path;
 
@@ -15,7 +16,8 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     match case.as_str() {
         "departure-stop" => departure::run_stop(Path::new(dir), trouble),
-
+        "departure-outage" => departure::run_outage(Path::new(dir), trouble),
+        "uploads" => uploads::run(Path::new(dir), trouble),
         _ => fleet::cannot_run("no such case"),
     }
 }
