Show that one odd heartbeat makes a daemon acknowledge and ignore a drain

Cause: a heartbeat without version and zone is taken for the server's own. Its sequence number makes every later heartbeat of the server late, and late heartbeats are acknowledged without effect.

Nothing of the project is changed.

--- a/review/stand/departure.rs
+++ b/review/stand/departure.rs
@@ -59,12 +59,17 @@
         (self.record.now(), heartbeat)
     }
 
-    /// The heartbeat arrives, the server serves on until `end_at` and ends, and the requests that reached it
-    /// after `counts_from` are judged.
+    /// The heartbeat arrives, and then as in [`finish`](Self::finish).
     fn judge(self, late_heartbeat: &str, counts_from: Duration, end_at: Duration) -> ! {
         self.fleet.wait_until_ready();
         let status = self.leaving.send_heartbeat(late_heartbeat);
         self.record.line(&format!("the late heartbeat arrives: answer {status}"));
+        self.finish(counts_from, end_at)
+    }
+
+    /// The server serves on until `end_at` and ends, and the requests that reached it after `counts_from` are
+    /// judged.
+    fn finish(self, counts_from: Duration, end_at: Duration) -> ! {
         self.record.sleep_until(end_at);
         self.leaving.end();
         thread::sleep(Duration::from_secs(1));
@@ -127,6 +132,22 @@
     scene.judge(&late_heartbeat, counts_from, left_at + Duration::from_millis(10_500))
 }
 
+/// Another writer sends one heartbeat in the server's name, with fields missing. Later the server drains.
+pub fn run_odd_heartbeat(dir: &Path, trouble: bool) -> ! {
+    let scene = Scene::start(dir);
+    if trouble {
+        let status = scene.leaving.send_heartbeat(&scene.leaving.odd_heartbeat());
+        scene.record.line(&format!("the odd heartbeat: answer {status}"));
+    }
+    thread::sleep(Duration::from_secs(4));
+    if scene.leaving.drain() != 200 {
+        scene.fleet.stop();
+        fleet::cannot_run("the server's draining was not acknowledged");
+    }
+    let left_at = scene.record.now();
+    scene.finish(left_at + DRAIN, left_at + Duration::from_millis(7_500))
+}
+
 /// Clients of a machine that send one order after the other.
 struct Clients {
     is_sending: Arc<AtomicBool>,
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -370,6 +370,7 @@
     born: u128,
     sequence: AtomicU64,
     is_beating: AtomicBool,
+    is_draining: AtomicBool,
     has_ended: AtomicBool,
     runs: Mutex<Vec<Run>>,
     record: Arc<Record>,
@@ -386,6 +387,7 @@
             born,
             sequence: AtomicU64::new(0),
             is_beating: AtomicBool::new(true),
+            is_draining: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
             runs: Mutex::default(),
             record: Arc::clone(record),
@@ -411,16 +413,34 @@
         server
     }
 
-    /// Body of the next heartbeat, in state `ready`.
+    /// Body of the next heartbeat.
     pub fn heartbeat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, SeqCst) + 1;
         let (addr, born, service) = (self.machine.app(), self.born, self.machine.service);
+        let state = if self.is_draining.load(SeqCst) { "draining" } else { "ready" };
         format!(
-            r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{}","slots":5}},"status":{{"state":"ready","sequence":{sequence},"coldMs":0}}}}"#,
+            r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"{}","slots":5}},"status":{{"state":"{state}","sequence":{sequence},"coldMs":0}}}}"#,
             self.machine.zone
         )
     }
 
+    /// A heartbeat of another writer: it names this server, but version and zone are missing, and its sequence
+    /// number is not the server's.
+    pub fn odd_heartbeat(&self) -> String {
+        let (addr, born, service) = (self.machine.app(), self.born, self.machine.service);
+        format!(
+            r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","slots":5}},"status":{{"state":"ready","sequence":18446744073709551615,"coldMs":0}}}}"#
+        )
+    }
+
+    /// Reports `draining` from now on. Returns the status of the first such heartbeat's answer.
+    pub fn drain(&self) -> u16 {
+        self.is_draining.store(true, SeqCst);
+        let status = self.send_heartbeat(&self.heartbeat());
+        self.record.line(&format!("server {} reports draining: answer {status}", self.id));
+        status
+    }
+
     /// Delivers a heartbeat and returns the status of its answer.
     pub fn send_heartbeat(&self, body: &str) -> u16 {
         self.machine.control(&format!("PUT /pomelopath/instances/{} HTTP/1.1", self.id), body)
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -17,6 +17,7 @@
     match case.as_str() {
         "departure-stop" => departure::run_stop(Path::new(dir), trouble),
         "departure-outage" => departure::run_outage(Path::new(dir), trouble),
+        "odd-heartbeat" => departure::run_odd_heartbeat(Path::new(dir), trouble),
         "uploads" => uploads::run(Path::new(dir), trouble),
         _ => fleet::cannot_run("no such case"),
     }
