Show that one odd heartbeat turns a server over to another service

Cause: a heartbeat without version and zone is taken for the server's own, may name another service than the settings of the machine, and outdates all heartbeats of the server by its sequence number.

Nothing of the project is changed.

--- a/review/stand/departure.rs
+++ b/review/stand/departure.rs
@@ -136,7 +136,7 @@
 pub fn run_odd_heartbeat(dir: &Path, trouble: bool) -> ! {
     let scene = Scene::start(dir);
     if trouble {
-        let status = scene.leaving.send_heartbeat(&scene.leaving.odd_heartbeat());
+        let status = scene.leaving.send_heartbeat(&scene.leaving.odd_heartbeat("huvo11a"));
         scene.record.line(&format!("the odd heartbeat: answer {status}"));
     }
     thread::sleep(Duration::from_secs(4));
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -355,6 +355,8 @@
 pub struct Run {
     /// Id of the request.
     pub request: String,
+    /// Its target.
+    pub target: String,
     /// Time since the start of the record.
     pub at: Duration,
 }
@@ -426,8 +428,8 @@
 
     /// A heartbeat of another writer: it names this server, but version and zone are missing, and its sequence
     /// number is not the server's.
-    pub fn odd_heartbeat(&self) -> String {
-        let (addr, born, service) = (self.machine.app(), self.born, self.machine.service);
+    pub fn odd_heartbeat(&self, service: &str) -> String {
+        let (addr, born) = (self.machine.app(), self.born);
         format!(
             r#"{{"address":"{addr}","born":{born},"info":{{"service":"{service}","slots":5}},"status":{{"state":"ready","sequence":18446744073709551615,"coldMs":0}}}}"#
         )
@@ -499,7 +501,7 @@
     fn begin(&self, request: &Message) {
         let id = request.header("request-id").to_owned();
         self.record.line(&format!("server {} runs {id}: {}", self.id, request.start));
-        let run = Run { request: id, at: self.record.now() };
+        let run = Run { request: id, target: request.target().to_owned(), at: self.record.now() };
         self.runs.lock().expect("the lock").push(run);
     }
 
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod store;
 
 mod departure;
+mod service;
 mod uploads;
 
 use std::path::Path;
@@ -18,6 +19,7 @@
         "departure-stop" => departure::run_stop(Path::new(dir), trouble),
         "departure-outage" => departure::run_outage(Path::new(dir), trouble),
         "odd-heartbeat" => departure::run_odd_heartbeat(Path::new(dir), trouble),
+        "odd-service" => service::run(Path::new(dir), trouble),
         "uploads" => uploads::run(Path::new(dir), trouble),
         _ => fleet::cannot_run("no such case"),
     }
