Show that a download that breaks off takes an answered request along

Cause: a request behind an unanswered download is started early, and the connection on which its answer should follow is closed when the download breaks off.

--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -132,6 +132,11 @@
     /// Sends a request and reads its response.
     pub fn exchange(&mut self, request: &[u8]) -> io::Result<Message> {
         self.0.get_mut().write_all(request)?;
+        self.receive()
+    }
+
+    /// Reads the response to a request that was sent behind another one.
+    pub fn receive(&mut self) -> io::Result<Message> {
         read_response(&mut self.0)
     }
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -6,6 +6,7 @@
 mod store;
 
 mod departure;
+mod pipeline;
 mod service;
 mod uploads;
 
@@ -20,6 +21,7 @@
         "departure-outage" => departure::run_outage(Path::new(dir), trouble),
         "odd-heartbeat" => departure::run_odd_heartbeat(Path::new(dir), trouble),
         "odd-service" => service::run(Path::new(dir), trouble),
+        "break-off" => pipeline::run(Path::new(dir), trouble),
         "uploads" => uploads::run(Path::new(dir), trouble),
         _ => fleet::cannot_run("no such case"),
     }
