--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -116,6 +116,7 @@
             .spawn();
         let child = child.unwrap_or_else(|e| cannot_run(&format!("{PROGRAM} does not start: {e}")));
         self.record.line(&format!("daemon {} starts, pid {}", self.ip, child.id()));
+        RUNNING.lock().expect("the lock").push(child.id());
         *self.child.lock().expect("the lock") = Some(child);
     }
 
@@ -214,6 +215,7 @@
             self.record.line(&format!("daemon {} is killed", self.ip));
             let _ = child.kill();
             let _ = child.wait();
+            forget_process(child.id());
         }
     }
 
@@ -228,6 +230,7 @@
         }
         let _ = child.kill();
         let ended = child.wait();
+        forget_process(child.id());
         self.record.line(&format!("daemon {} has ended: {ended:?}", self.ip));
     }
 
@@ -252,9 +255,19 @@
     let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
 }
 
+/// Ids of the daemons' processes that have been started and not waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn forget_process(pid: u32) {
+    RUNNING.lock().expect("the lock").retain(|running| *running != pid);
+}
+
 /// Ends the program because the case can't run.
 pub fn cannot_run(problem: &str) -> ! {
     eprintln!("the case can't run: {problem}");
+    for pid in RUNNING.lock().expect("the lock").iter() {
+        signal(*pid, "KILL");
+    }
     std::process::exit(2);
 }
 
@@ -329,6 +342,12 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
 /// Ports that are free at all addresses.
 fn free_ports(ips: &[String]) -> Ports {
     let is_free = |port: u16| ips.iter().all(|ip| TcpListener::bind((ip.as_str(), port)).is_ok());
@@ -508,7 +527,8 @@
     /// Bytes of a signed answer.
     pub fn answer(&self, request: &Message, status: &str, body: &[u8]) -> Vec<u8> {
         let signature = format!("{}.0", self.id);
-        let headers = [("Request-Id", request.header("request-id")), ("Server-Signature", signature.as_str())];
+        let headers =
+            [("Request-Id", request.header("request-id")), ("Server-Signature", signature.as_str())];
         http::encode(&format!("HTTP/1.1 {status}"), &headers, body)
     }
 }
@@ -527,7 +547,8 @@
 /// Bytes of a client's request.
 pub fn request(method: &str, path: &str, id: &str, deadline: Duration, body: &[u8]) -> Vec<u8> {
     let deadline = deadline.as_millis().to_string();
-    let headers = [("Host", "ficu95.example"), ("Request-Id", id), ("Deadline-Ms", &deadline), ("Api-Key", KEY)];
+    let headers =
+        [("Host", "ficu95.example"), ("Request-Id", id), ("Deadline-Ms", &deadline), ("Api-Key", KEY)];
     http::encode(&format!("{method} {path} HTTP/1.1"), &headers, body)
 }
 
--- a/review/stand/pipeline.rs
+++ b/review/stand/pipeline.rs
@@ -99,7 +99,8 @@
 ) -> Option<String> {
     let mut conn = Connection::open(to, DEADLINE).ok()?;
     *n += 1;
-    conn.exchange(&fleet::request("GET", "/lohu930/a", &format!("single-{client}-{n}"), DEADLINE, b"")).ok()?;
+    conn.exchange(&fleet::request("GET", "/lohu930/a", &format!("single-{client}-{n}"), DEADLINE, b""))
+        .ok()?;
     while is_sending.load(SeqCst) {
         *n += 1;
         let (first, second) = (format!("download-{client}-{n}"), format!("behind-{client}-{n}"));
--- a/review/stand/service.rs
+++ b/review/stand/service.rs
@@ -18,7 +18,8 @@
 const CLIENTS: usize = 8;
 
 pub fn run(dir: &Path, trouble: bool) -> ! {
-    let routes = [("pufi791", "non_idempotent", "huvo11a", 8_000), ("zizi451", "non_idempotent", "wuno96b", 8_000)];
+    let routes =
+        [("pufi791", "non_idempotent", "huvo11a", 8_000), ("zizi451", "non_idempotent", "wuno96b", 8_000)];
     let config = fleet::config(&routes, &["huvo11a", "wuno96b"]);
     let machines = [("paraiso", "huvo11a"), ("paraiso", "huvo11a"), ("paraiso", "wuno96b")];
     let fleet = Fleet::start(dir, &machines, &config);
@@ -28,7 +29,9 @@
         .machines
         .iter()
         .enumerate()
-        .map(|(n, machine)| Server::start(&format!("i-{}-{n}", machine.service), machine, &record, &behaviour))
+        .map(|(n, machine)| {
+            Server::start(&format!("i-{}-{n}", machine.service), machine, &record, &behaviour)
+        })
         .collect();
     thread::sleep(Duration::from_secs(4));
     if trouble {
@@ -58,5 +61,8 @@
         let own = routes.iter().find(|route| route.2 == machine.service).map_or("", |route| route.0);
         wrong += server.runs().iter().filter(|run| !run.target.starts_with(&format!("/{own}/"))).count();
     }
-    fleet.finish(wrong > 0, &format!("{wrong} requests were run by a server of another service than their route's"));
+    fleet.finish(
+        wrong > 0,
+        &format!("{wrong} requests were run by a server of another service than their route's"),
+    );
 }
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -120,7 +120,8 @@
     fn get(&self, table: &str, from: &str, to: &str) -> (u16, String) {
         let rows = self.rows.lock().expect("the lock");
         let in_range = |key: &str| key >= from && (to.is_empty() || key < to);
-        let wanted = rows.by_name.iter().filter(|((t, key), row)| t == table && in_range(key) && row.value.is_some());
+        let wanted =
+            rows.by_name.iter().filter(|((t, key), row)| t == table && in_range(key) && row.value.is_some());
         let listed: Vec<String> = wanted.map(|(name, row)| row_json(name, row)).collect();
         self.reply(&rows, &listed)
     }
--- a/review/stand/uploads.rs
+++ b/review/stand/uploads.rs
@@ -26,9 +26,8 @@
     let fleet = Fleet::start(dir, &[("paraiso", "huvo11a"), ("paraiso", "huvo11a")], &config);
     let record = Arc::clone(&fleet.record);
     let behaviour = fleet::sound(Duration::from_millis(2_000));
-    let servers: Vec<_> = (0..2)
-        .map(|n| Server::start(&format!("i-{n}"), &fleet.machines[n], &record, &behaviour))
-        .collect();
+    let servers: Vec<_> =
+        (0..2).map(|n| Server::start(&format!("i-{n}"), &fleet.machines[n], &record, &behaviour)).collect();
     thread::sleep(Duration::from_secs(4));
     let peak = Arc::new(AtomicU64::new(0));
     let kills = Arc::new(AtomicUsize::new(0));
@@ -67,7 +66,9 @@
                         }
                         Some(Err(e)) => {
                             conn = None;
-                            record.line(&format!("client gets no answer for {id}: {e}; kept connection: {is_kept}"));
+                            record.line(&format!(
+                                "client gets no answer for {id}: {e}; kept connection: {is_kept}"
+                            ));
                             if is_kept {
                                 unanswered.lock().expect("the lock").push(id);
                             }
@@ -85,7 +86,8 @@
         record.line(&format!("{clients} clients send {BODY_BYTES} bytes each"));
         let uploads: Vec<_> = (0..clients)
             .map(|client| {
-                let (record, body, outcomes) = (Arc::clone(&record), Arc::clone(&body), Arc::clone(&outcomes));
+                let (record, body, outcomes) =
+                    (Arc::clone(&record), Arc::clone(&body), Arc::clone(&outcomes));
                 thread::spawn(move || {
                     let id = format!("upload-{round}-{client}");
                     let request = fleet::request("POST", "/lohu930/upload", &id, DEADLINE, &body);
