--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -1,8 +1,8 @@
 //! Directory of the daemons, kept as one row per daemon in the store.
 //!
-//! Daemons find each other by these rows. A row also holds the departures of servers that its daemon has
-//! acknowledged, so that a later process of the daemon knows them.
+//! Daemons find each other by these rows. The rows with [`departures`] of servers lie between them.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -10,10 +10,11 @@
 use derive_more::{Display, Error, From};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use store::{Commit, StoreError, Table, Write};
-use tokio::time::{sleep, timeout};
+use store::{Commit, Row, StoreError, Table, Write};
+use tokio::time::sleep;
 
 use crate::datagram::{Incarnation, PeerInfo, RemovedPeer};
+use crate::departures;
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
 use crate::registration::Departure;
@@ -42,9 +43,6 @@
 /// Delay between rounds of introductions.
 const INTRODUCTION_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Longest time for which the acknowledgement of a departure waits for the store.
-const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// How far the start of a daemon may lie in the future, by this instance's wall clock. Wall clocks of instances
 /// differ by seconds; a row with a later start would hide all processes to come on its address.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(1);
@@ -76,26 +74,14 @@
 struct DirectoryRow {
     #[serde(flatten)]
     peer_info: PeerInfo,
-    /// Departures that the daemon has acknowledged.
-    #[serde(default)]
+    /// Departures that a daemon of an earlier version has acknowledged, which had no other row for them.
+    #[serde(default, skip_serializing)]
     departures: Vec<Departure>,
 }
 
-/// Writes departures that this daemon has not stored yet, before they are acknowledged to the server. The
-/// caller acknowledges a departure even if the store doesn't answer, because the server leaves anyway.
-pub async fn store_departures(node: &Node) {
-    let departures = node.local_server.departures();
-    let Some(table) = node.table.borrow().clone() else { return };
-    if departures == *node.stored_departures.borrow() {
-        return;
-    }
-    match timeout(DEPARTURE_TIMEOUT, write_own_row(node, &*table)).await {
-        Ok(Ok(())) => {
-            node.stored_departures.replace(departures);
-        }
-        Ok(Err(e)) => event!(Warn, StoreDown, "purpose=departure error={e}"),
-        Err(_late) => event!(Warn, StoreDown, "purpose=departure outcome=timeout"),
-    }
+/// Key of the row of the daemon at `addr`.
+pub(crate) fn row_key(addr: &DaemonId) -> Box<str> {
+    format!("{KEY_PREFIX}{addr}").into()
 }
 
 /// Reads the directory, adds this daemon's row if it is missing, and reads again at regular intervals.
@@ -121,6 +107,9 @@
         sleep(interval.mul_f64(rand::rng().random_range(0.8..1.2))).await;
         let found = read_with_retry(&node, &gossip, &*table).await;
         gossip::forward_peer_info(&node, &gossip, &found.new_peers);
+        if node.peers.borrow().rank_in_centre(Instant::now()) == 0 {
+            departures::delete_expired_rows(&node, &*table).await;
+        }
         if !found.has_own_row
             && let Err(e) = write_own_row(&node, &*table).await
         {
@@ -156,7 +145,7 @@
     node.peers.borrow_mut().remove_peer(removed);
     node.update_rate_shares();
     gossip::announce_removal(node, gossip, removed);
-    let commit = Commit { checks: Vec::new(), writes: vec![Write::delete(&format!("{KEY_PREFIX}{addr}"))] };
+    let commit = Commit { checks: Vec::new(), writes: vec![Write::delete(&row_key(&addr))] };
     if let Err(e) = table.commit(&commit).await {
         // The row stays. Daemons that read it later add the removed one to their tables again, and it is
         // removed once more after another period of silence.
@@ -218,20 +207,19 @@
 
 /// Writes this daemon's row, replacing any row of an earlier process on the same address.
 async fn write_own_row(node: &Node, table: &dyn Table) -> Result<(), StoreError> {
-    let row = DirectoryRow { peer_info: node.peer_info(), departures: node.local_server.departures() };
+    let row = DirectoryRow { peer_info: node.peer_info(), departures: Vec::new() };
     let text =
         serde_json::to_string(&row).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
-    let commit = Commit {
-        checks: Vec::new(),
-        writes: vec![Write::put(&format!("{KEY_PREFIX}{}", node.identity.addr), &text)],
-    };
+    let commit = Commit { checks: Vec::new(), writes: vec![Write::put(&node.directory_key(), &text)] };
     table.commit(&commit).await.map(|_version| ())
 }
 
 /// Reads all rows and adds their daemons to the table of peers. The first read also restores departures from
 /// this daemon's own row.
 async fn read_rows(node: &Node, table: &dyn Table) -> Result<DirectoryScan, StoreError> {
-    let rows = table.range(KEY_PREFIX).await?;
+    let rows = table.range(KEY_PREFIX).await?.into_iter();
+    let (departure_rows, rows): (Vec<_>, Vec<_>) =
+        rows.partition(|(key, _)| departures::daemon_key(key).is_some());
     let now = Instant::now();
     let latest_start = latest_start();
     let own = node.peer_info();
@@ -241,10 +229,7 @@
             Ok(DirectoryRow { peer_info, departures }) if peer_info.addr == own.addr => {
                 node.supersede(peer_info.incarnation);
                 found.has_own_row = peer_info.place == own.place && peer_info.service == own.service;
-                if !node.has_read_directory.get() {
-                    node.stored_departures.replace(departures.clone());
-                    node.local_server.restore_departures(departures);
-                }
+                departures::restore(node, departures);
             }
             Ok(DirectoryRow { peer_info, .. }) => {
                 if node.peers.borrow_mut().add_peer(peer_info.clone(), now) {
@@ -254,6 +239,7 @@
             Err(e) => event!(Warn, RowRefused, "key={key:?} error={e}"),
         }
     }
+    read_departures(node, &departure_rows, now);
     node.has_read_directory.set(true);
     node.update_rate_shares();
     let members = node.peers.borrow().member_count();
@@ -262,6 +248,20 @@
     Ok(found)
 }
 
+/// Restores the departures in this daemon's row, and finds rows whose daemons are gone.
+fn read_departures(node: &Node, rows: &[(Box<str>, Row)], now: Instant) {
+    let own_key = node.directory_key();
+    let is_own = |key: &str| departures::daemon_key(key) == Some(&own_key);
+    if let Some((key, row)) = rows.iter().find(|(key, _)| is_own(key)) {
+        departures::restore_row(node, key, Some(row));
+    }
+    let members: HashSet<Box<str>> = node.peers.borrow().all_peers().map(|p| row_key(&p.addr)).collect();
+    let is_abandoned =
+        |key: &str| !is_own(key) && departures::daemon_key(key).is_none_or(|d| !members.contains(d));
+    let abandoned = rows.iter().filter(|(key, _)| is_abandoned(key));
+    node.departures.set_abandoned_rows(abandoned.map(|(key, row)| (key.clone(), row.version)).collect(), now);
+}
+
 /// Latest start that a process can have by this instance's clock.
 pub fn latest_start() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -272,7 +272,7 @@
 fn decode_row(key: &str, value: &str, latest_start: Incarnation) -> Result<DirectoryRow, RowError> {
     let row: DirectoryRow = serde_json::from_str(value)?;
     let PeerInfo { addr, incarnation, .. } = row.peer_info;
-    if key != format!("{KEY_PREFIX}{addr}") {
+    if *key != *row_key(&addr) {
         return Err(RowError::OtherAddress(addr));
     }
     if addr.port() == 0 || addr.ip().is_unspecified() || addr.ip().is_multicast() {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`delivery`]) and hands it to the daemon beside a server that it chooses ([`attempts`], [`links`],
 //! [`handoff`]). There the request waits for a slot and runs ([`local_server`], [`slot`], [`pool`]).
 //!
-//! Daemons find each other through rows of the store ([`directory`]). Those of one data centre exchange their
+//! Daemons find each other through rows of the store ([`directory`]), in which they also keep the departures of
+//! their servers ([`departures`]). Those of one data centre exchange their
 //! status over UDP ([`gossip`], [`peers`]), and data centres exchange digests of it ([`digest`]).
 //! [`config_refresh`] and [`freshness`] keep the configuration current and track how recently it was proven to
 //! be the newest one. All state of a daemon is a [`node::Node`], which lives on a single thread.
@@ -37,6 +38,7 @@
 pub mod daemon;
 pub mod datagram;
 pub mod delivery;
+pub mod departures;
 pub mod digest;
 pub mod directory;
 mod exchange;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -21,6 +21,7 @@
 use crate::clock::BootTime;
 use crate::config_refresh::FetchedConfig;
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
+use crate::departures::DepartureLog;
 use crate::digest::{Digest, RelayedReport};
 use crate::directory;
 use crate::freshness::Freshness;
@@ -30,7 +31,6 @@
 use crate::local_server::LocalServer;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::registration::Departure;
 use crate::run_times::RunTimes;
 
 /// Shortest time between two requests for tokens of the same customer to other data centres.
@@ -114,13 +114,13 @@
     /// Set once the UDP socket is bound.
     pub(crate) gossip: RefCell<Option<Rc<Gossip>>>,
     retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    /// Where departures are known to be kept.
+    pub(crate) departures: DepartureLog,
+    /// Whether the rows of the other daemons have been read at least once.
+    pub(crate) has_read_directory: Cell<bool>,
     /// The store's table; set once the daemon runs.
     #[debug(skip)]
     pub(crate) table: RefCell<Option<Rc<dyn Table>>>,
-    /// Departures that this daemon's row in the store contains.
-    pub(crate) stored_departures: RefCell<Vec<Departure>>,
-    /// Whether the rows of the other daemons have been read at least once.
-    pub(crate) has_read_directory: Cell<bool>,
     is_stopping: Cell<bool>,
     /// Time of a graceful stop at which requests still running are answered by the daemon itself; `None`
     /// before a stop.
@@ -159,9 +159,9 @@
             last_refills: RefCell::default(),
             gossip: RefCell::default(),
             retry_budgets: RefCell::default(),
-            table: RefCell::default(),
-            stored_departures: RefCell::default(),
+            departures: DepartureLog::default(),
             has_read_directory: Cell::new(false),
+            table: RefCell::default(),
             is_stopping: Cell::new(false),
             answer_by: Cell::new(None),
             active_requests: Cell::new(0),
@@ -356,6 +356,11 @@
         Hello { peer_info: self.peer_info(), status: self.status(to), wants_answer, forward }
     }
 
+    /// Key of this daemon's row in the directory.
+    pub(crate) fn directory_key(&self) -> Box<str> {
+        directory::row_key(&self.identity.addr)
+    }
+
     /// Description of this daemon for the directory and for other daemons.
     pub fn peer_info(&self) -> PeerInfo {
         let identity = &self.identity;
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -15,8 +15,8 @@
 
 /// Number of departures that are remembered, so that delayed heartbeats of departed servers are ignored.
 const MAX_REMEMBERED_DEPARTURES: usize = 64;
-/// Number of departures that are written to the store. A few are enough, since an instance has one server at
-/// a time.
+/// Number of departures that are kept for the next process of the daemon. A few are enough, since an instance
+/// has one server at a time.
 const MAX_STORED_DEPARTURES: usize = 4;
 
 /// Longest time for which a server can be slow after its start, whatever its heartbeats say.
@@ -67,6 +67,26 @@
     fn covers(&self, heartbeat: &Heartbeat) -> bool {
         self.id == heartbeat.id && heartbeat.born <= self.born
     }
+
+    /// Whether `other` follows from this departure.
+    pub(crate) fn includes(&self, other: &Departure) -> bool {
+        self.id == other.id && other.born <= self.born
+    }
+}
+
+/// Adds departures, oldest first, to those in `known`. Only the latest departure of each server is kept, and only
+/// as many as are remembered.
+fn merge_departures(known: &mut Vec<Departure>, more: impl IntoIterator<Item = Departure>) {
+    for departure in more {
+        if known.iter().any(|d| d.includes(&departure)) {
+            continue;
+        }
+        known.retain(|d| !departure.includes(d));
+        if known.len() == MAX_REMEMBERED_DEPARTURES {
+            known.remove(0);
+        }
+        known.push(departure);
+    }
 }
 
 /// The registered server.
@@ -85,7 +105,7 @@
     server: Option<RegisteredServer>,
     /// Departures that servers reported to this process, oldest first.
     departed: Vec<Departure>,
-    /// Departures that an earlier process of this daemon acknowledged to its servers.
+    /// Departures that earlier processes of this daemon acknowledged, oldest first.
     restored: Vec<Departure>,
 }
 
@@ -121,18 +141,15 @@
     /// server that were started by `wall_ms` count as departed.
     pub fn deregister(&mut self, id: &str, wall_ms: ServerIncarnation) -> bool {
         let known = self.server.take_if(|known| *known.heartbeat.id == *id);
-        if self.departed.len() == MAX_REMEMBERED_DEPARTURES {
-            self.departed.remove(0);
-        }
         let born = known.as_ref().map_or(wall_ms, |k| k.heartbeat.born);
-        self.departed.push(Departure { id: id.into(), born });
+        merge_departures(&mut self.departed, [Departure { id: id.into(), born }]);
         known.is_some()
     }
 
-    /// Applies departures that an earlier process of this daemon acknowledged; true if the registered server
-    /// begins to drain as a result.
+    /// Applies departures that earlier processes of this daemon acknowledged, latest first; true if the
+    /// registered server begins to drain as a result.
     pub fn restore_departures(&mut self, departures: Vec<Departure>) -> bool {
-        self.restored = departures;
+        merge_departures(&mut self.restored, departures.into_iter().rev());
         let Some(known) = self.server.as_mut().filter(|s| !s.heartbeat.draining) else {
             return false;
         };
@@ -140,16 +157,14 @@
         known.heartbeat.draining
     }
 
-    /// Latest departures to be kept across processes. They include the departure of the registered server if
-    /// it is draining.
+    /// Latest departures to be kept across processes, latest first. They include the departure of the registered
+    /// server if it is draining.
     pub fn departures(&self) -> Vec<Departure> {
         let leaving = self.server.iter().map(|s| &s.heartbeat).filter(|h| h.draining);
         let leaving = leaving.map(|h| Departure { id: h.id.clone(), born: h.born });
-        let mut latest: Vec<Departure> = leaving.collect();
-        latest.extend(self.departed.iter().rev().cloned());
-        latest.extend(self.restored.iter().cloned());
-        latest.truncate(MAX_STORED_DEPARTURES);
-        latest
+        let mut all = self.restored.clone();
+        merge_departures(&mut all, self.departed.iter().cloned().chain(leaving));
+        all.into_iter().rev().take(MAX_STORED_DEPARTURES).collect()
     }
 
     /// The registered server, draining or not.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -6,6 +6,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -214,7 +216,11 @@
 pub struct Rows {
     store: Mutex<MemStore>,
     /// Whether every call fails.
-    is_down: bool,
+    pub is_down: AtomicBool,
+    /// Whether transactions take effect, but their answers are lost.
+    pub loses_answers: AtomicBool,
+    /// Number of transactions.
+    pub commits: AtomicUsize,
 }
 
 impl Rows {
@@ -230,11 +236,20 @@
 
     /// Rows that can't be read or written.
     pub fn down() -> Self {
-        Self { is_down: true, ..Self::default() }
+        Self { is_down: AtomicBool::new(true), ..Self::default() }
+    }
+
+    /// Whether a row holds the text.
+    pub fn contain(&self, text: &str) -> bool {
+        let rows = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        match rows.clone().apply(&StoreOp::Range { prefix: "".into() }) {
+            Ok(StoreRep::Rows(rows)) => rows.iter().any(|(_, row)| row.value.contains(text)),
+            _ => false,
+        }
     }
 
     fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
-        if self.is_down {
+        if self.is_down.load(SeqCst) {
             return Err(StoreError::Down);
         }
         self.store.lock().unwrap_or_else(PoisonError::into_inner).apply(op)
@@ -258,7 +273,9 @@
     }
 
     async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+        self.commits.fetch_add(1, SeqCst);
         match self.apply(&StoreOp::Commit(commit.clone()))? {
+            StoreRep::Committed { .. } if self.loses_answers.load(SeqCst) => Err(StoreError::Ambiguous),
             StoreRep::Committed { version } => Ok(version),
             _ => Err(StoreError::Down),
         }
@@ -313,6 +330,8 @@
     pub backend: Rc<Backend>,
     /// Cancelled by tests to stop the daemon gracefully.
     pub stop: CancellationToken,
+    /// Cancelled by tests to kill the daemon.
+    pub kill: CancellationToken,
     /// Cancelled when the daemon has ended.
     pub ended: CancellationToken,
 }
@@ -324,7 +343,8 @@
     pub daemons: Vec<Daemon>,
     /// Source of the daemons' configuration.
     pub source: Rc<Source>,
-    rows: Rc<Rows>,
+    /// The store's rows.
+    pub rows: Rc<Rows>,
 }
 
 /// Starts a fleet with one daemon for each script, and waits until its daemons know each other.
@@ -394,20 +414,23 @@
     let incarnation = identity.incarnation;
     let node = Rc::new(Node::new(identity, names, bounds, local_server, hasher.clone(), Metrics::default()));
     let callers_addr = callers.local_addr().expect("a bound address");
-    let (stop, ended) = (CancellationToken::new(), CancellationToken::new());
+    let (stop, kill, ended) = (CancellationToken::new(), CancellationToken::new(), CancellationToken::new());
     let sockets = Sockets { callers, handoffs, datagrams };
     let source_client = SourceClient { incarnation, source: Rc::clone(source), hasher };
     let table: Rc<dyn Table> = Rc::clone(rows) as Rc<dyn Table>;
     let running = run_daemon(Rc::clone(&node), sockets, source_client, table, stop.clone());
-    let done = ended.clone();
+    let (killed, done) = (kill.clone(), ended.clone());
     // The daemon's tasks end with it, like those of a process.
     let tasks = LocalSet::new();
     spawn_local(async move {
-        tasks.run_until(running).await;
+        tokio::select! {
+            () = tasks.run_until(running) => {}
+            () = killed.cancelled() => {}
+        }
         drop(tasks);
         done.cancel();
     });
-    Daemon { node, callers: callers_addr, backend, stop, ended }
+    Daemon { node, callers: callers_addr, backend, stop, kill, ended }
 }
 
 async fn bind_sockets() -> (TcpListener, UdpSocket) {
@@ -434,7 +457,7 @@
 
     fn heartbeat(&self, born: u64, sequence: u64, draining: bool) {
         let heartbeat = Heartbeat {
-            id: format!("server-{}", self.node.identity.incarnation % 100).into(),
+            id: self.server_id().into(),
             born,
             sequence,
             service: SERVICE.into(),
@@ -445,6 +468,16 @@
         self.node.local_server.apply_heartbeat(heartbeat, Instant::now());
     }
 
+    /// The server leaves, and the departure is acknowledged.
+    pub async fn acknowledge_departure(&self) {
+        self.node.local_server.deregister(&self.server_id(), 1);
+        relay::departures::store_departures(&self.node).await;
+    }
+
+    fn server_id(&self) -> String {
+        format!("server-{}", self.node.identity.incarnation % 100)
+    }
+
     /// Sends bytes on a new connection, and reads until the text `until` has arrived or the connection
     /// closes.
     pub async fn send_raw(&self, bytes: &str, until: &str) -> String {
@@ -592,8 +625,20 @@
     /// started.
     pub async fn restart_with_earlier_clock(&self, old: Daemon) -> Daemon {
         old.stop.cancel();
-        old.ended.cancelled().await;
         let identity = Identity { incarnation: 0, ..old.node.identity.clone() };
+        self.restart_in_place(old, identity).await
+    }
+
+    /// Kills a daemon and starts a new process on the same sockets.
+    pub async fn kill_and_restart(&self, old: Daemon) -> Daemon {
+        old.kill.cancel();
+        let identity =
+            Identity { incarnation: old.node.identity.incarnation + 100, ..old.node.identity.clone() };
+        self.restart_in_place(old, identity).await
+    }
+
+    async fn restart_in_place(&self, old: Daemon, identity: Identity) -> Daemon {
+        old.ended.cancelled().await;
         let backend = Rc::clone(&old.backend);
         // The node holds the socket for datagrams.
         drop(old);
--- a/crates/relay/tests/registration.rs
+++ b/crates/relay/tests/registration.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use relay::handoff::DeclineReason;
-use relay::registration::{Heartbeat, HeartbeatOutcome, Registration};
+use relay::registration::{Departure, Heartbeat, HeartbeatOutcome, Registration};
 
 fn heartbeat(born: u64, sequence: u64) -> Heartbeat {
     Heartbeat {
@@ -121,3 +121,14 @@
     let cold = Heartbeat { cold_for: Duration::MAX, ..heartbeat(1, 1) };
     assert!(serves(&registered([cold])));
 }
+
+#[test]
+fn departures_that_are_restored_from_two_sources_all_hold() {
+    let mut registration = Registration::default();
+    registration.restore_departures(vec![Departure { id: "s1".into(), born: 5 }]);
+    registration.restore_departures(vec![Departure { id: "s2".into(), born: 7 }]);
+    registration.restore_departures(vec![Departure { id: "s1".into(), born: 4 }]);
+    let latest_first =
+        [Departure { id: "s2".into(), born: 7 }, Departure { id: "s1".into(), born: 5 }].to_vec();
+    assert_eq!(registration.departures(), latest_first);
+}
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -518,7 +518,7 @@
         let fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
         let old = &fleet.daemons[0];
         old.register(3, true);
-        relay::directory::store_departures(&old.node).await;
+        relay::departures::store_departures(&old.node).await;
         let new = fleet.restart(old).await;
         new.register(2, false);
         eventually(|| {
