--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -58,6 +58,7 @@
     606 FloorReached "An ejection was held back because of the service's floor.";
     607 ServerAvoided "This daemon avoids a backend server on its own evidence.";
     608 HeartbeatRefused "A heartbeat names no server that may be used.";
+    609 DeparturesKnown "The daemon knows which departures earlier processes acknowledged, and lets its server take work.";
     701 RequestRefused "A request was refused.";
     702 RequestRetried "A request was sent to another server.";
     703 ConnectionSilent "A connection to a server made no progress and was closed.";
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::datagram::RemovedPeer;
 use crate::gossip::Gossip;
 use crate::node::Node;
-use crate::{config_refresh, directory, gossip, links, listen};
+use crate::{config_refresh, departures, directory, gossip, links, listen};
 
 /// Time after the stop signal in which the daemon still serves new requests, so that callers can be directed
 /// to another daemon.
@@ -85,7 +85,7 @@
     let closing = CancellationToken::new();
     let gossip = Rc::new(Gossip::new(sockets.datagrams, node.metrics.datagram_bytes.clone()));
     node.gossip.replace(Some(Rc::clone(&gossip)));
-    node.table.replace(Some(Rc::clone(&table)));
+    node.local_server.set_departures_known(node.identity.is_first_start);
     let connections = Connections::default();
     let (callers, daemons) = (connections.callers.clone(), connections.daemons.clone());
     spawn_local(links::accept_daemons(Rc::clone(&node), sockets.handoffs, daemons, closing.clone()));
@@ -97,6 +97,8 @@
     spawn_local(config_refresh::refresh_config(Rc::clone(&node), source));
     spawn_local(directory::maintain_directory(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
     spawn_local(directory::remove_expired_peers(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
+    spawn_local(departures::keep_stored(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
+    spawn_local(departures::admit_server_when_known(Rc::clone(&node)));
     spawn_local(publish_changes(Rc::clone(&node)));
     stop.cancelled().await;
     stop_gracefully(&node, &gossip, &*table, &connections, &closing).await;
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -10,6 +10,7 @@
 use crate::clock::BootTime;
 use crate::digest::Digest;
 use crate::handoff::ServerReport;
+use crate::registration::Departure;
 
 /// Start time of a daemon's process in Unix milliseconds. Tells successive processes on one address apart.
 pub type Incarnation = u64;
@@ -38,6 +39,14 @@
     },
     /// The receiver's address is known to belong to a later process, with this incarnation.
     Superseded(Incarnation),
+    /// Departures of servers that the daemon at `of` has acknowledged, latest first. That daemon announces them
+    /// to others, and those tell them to its next process.
+    Departures {
+        /// Daemon whose servers have left.
+        of: DaemonId,
+        /// The departures.
+        departures: Vec<Departure>,
+    },
 }
 
 impl Datagram {
@@ -49,6 +58,7 @@
             Datagram::Removed(_) => "removal",
             Datagram::TokenRequest(..) | Datagram::TokenGrants(_) => "tokens",
             Datagram::Digest { .. } => "digest",
+            Datagram::Departures { .. } => "departures",
         }
     }
 }
--- a/crates/relay/src/departures.rs
+++ b/crates/relay/src/departures.rs
@@ -1,25 +1,37 @@
 //! Departures of servers, kept so that they outlive the process that has acknowledged them.
 //!
 //! A departure binds all later processes of a daemon until nothing of the server can arrive any more. It is kept
-//! in a row of its own, which no change of the daemon's membership touches.
+//! in a row of its own, which no change of the daemon's membership touches, and the other daemons of the data
+//! centre remember it for the time in which the store doesn't answer.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::event;
+use base::{DaemonId, event};
 use serde::{Deserialize, Serialize};
 use store::{Check, Commit, Row, StoreError, Table, Write};
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
+use crate::gossip::{self, Gossip};
 use crate::node::Node;
-use crate::registration::Departure;
+use crate::registration::{Departure, MAX_STORED_DEPARTURES, merge_departures};
 
 /// End of the key of a row with departures; the key of the daemon's own row precedes it.
 const KEY_SUFFIX: &str = "/departures";
 /// Longest time for which the acknowledgement of a departure waits for the store.
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which a row is kept whose daemon is gone. Heartbeats arrive seconds late at most.
+/// Timeout for writing the row, so that a connection gone silent is replaced by a new one.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Delay after a failed write.
+const RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time after its start for which a daemon waits for both the store and another daemon to tell it departures.
+/// Afterwards one of them is enough.
+const BOTH_SOURCES_WAIT: Duration = Duration::from_millis(600);
+/// Time for which departures are remembered for another daemon, and for which a row is kept whose daemon is
+/// gone. Heartbeats arrive seconds late at most.
 const KEEP_TIME: Duration = Duration::from_mins(10);
 
 /// Content of a row with departures.
@@ -37,6 +49,22 @@
     departures: Vec<Departure>,
 }
 
+/// Who has told this process the departures that earlier processes acknowledged.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sources {
+    /// The store's row was read.
+    store: bool,
+    /// Another daemon has told what it remembers, or there is none.
+    daemon: bool,
+}
+
+/// Departures of another daemon's servers.
+#[derive(Debug)]
+struct Remembered {
+    departures: Vec<Departure>,
+    forget_at: Instant,
+}
+
 /// A row whose daemon is not known.
 #[derive(Debug)]
 struct AbandonedRow {
@@ -44,10 +72,16 @@
     delete_at: Instant,
 }
 
-/// Where the departures of this daemon's servers are known to be kept.
+/// Where the departures of this daemon's servers are known to be kept, and those of other daemons' servers.
 #[derive(Debug, Default)]
 pub struct DepartureLog {
     row: RefCell<StoredRow>,
+    /// Notified when there may be departures that `row` lacks.
+    changed: Notify,
+    /// Notified when `row` was replaced.
+    row_replaced: Notify,
+    sources: watch::Sender<Sources>,
+    remembered: RefCell<HashMap<DaemonId, Remembered>>,
     abandoned: RefCell<HashMap<Box<str>, AbandonedRow>>,
 }
 
@@ -60,6 +94,25 @@
 
     fn replace_row(&self, row: StoredRow) {
         self.row.replace(row);
+        self.row_replaced.notify_waiters();
+    }
+
+    /// Remembers departures for the daemon at `of`, in addition to those that are remembered already.
+    pub(crate) fn remember(&self, of: DaemonId, departures: Vec<Departure>, now: Instant) {
+        let mut remembered = self.remembered.borrow_mut();
+        remembered.retain(|_, known| now < known.forget_at);
+        let known = remembered
+            .entry(of)
+            .or_insert_with(|| Remembered { departures: Vec::new(), forget_at: now + KEEP_TIME });
+        known.forget_at = now + KEEP_TIME;
+        merge_departures(&mut known.departures, departures.into_iter().rev());
+    }
+
+    /// Departures that are remembered for the daemon at `of`, latest first.
+    pub(crate) fn recall(&self, of: &DaemonId) -> Vec<Departure> {
+        let remembered = self.remembered.borrow();
+        let departures = remembered.get(of).map(|known| &known.departures);
+        departures.into_iter().flatten().rev().take(MAX_STORED_DEPARTURES).cloned().collect()
     }
 
     /// Records which rows exist, by key and version, whose daemons are not known. A row that changes counts as
@@ -92,24 +145,53 @@
     key.strip_suffix(KEY_SUFFIX)
 }
 
-/// Writes departures that this daemon has not stored yet, before they are acknowledged to the server. The
-/// caller acknowledges a departure even if the store doesn't answer, because the server leaves anyway.
+/// Waits until the store holds the departures of this daemon's servers, so that they can be acknowledged. They are
+/// acknowledged after some time even if the store doesn't answer, because the servers leave anyway;
+/// [`keep_stored`] then goes on.
 pub async fn store_departures(node: &Node) {
-    let departures = node.local_server.departures();
-    let Some(table) = node.table.borrow().clone() else { return };
-    if node.departures.is_stored(&departures) {
+    let log = &node.departures;
+    let is_stored = || log.is_stored(&node.local_server.departures());
+    if is_stored() {
         return;
     }
-    match timeout(ACK_TIMEOUT, write_row(node, &*table, departures)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(e)) => event!(Warn, StoreDown, "purpose=departure error={e}"),
-        Err(_late) => event!(Warn, StoreDown, "purpose=departure outcome=timeout"),
+    log.changed.notify_one();
+    let stored = async {
+        loop {
+            let row_replaced = log.row_replaced.notified();
+            if is_stored() {
+                return;
+            }
+            row_replaced.await;
+        }
+    };
+    if timeout(ACK_TIMEOUT, stored).await.is_err() {
+        event!(Warn, StoreDown, "purpose=departure outcome=acknowledged-before-stored");
+    }
+}
+
+/// Writes departures to the store whenever it lacks some, until the daemon ends.
+pub async fn keep_stored(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
+    loop {
+        let departures = node.local_server.departures();
+        if node.departures.is_stored(&departures) {
+            node.departures.changed.notified().await;
+            continue;
+        }
+        gossip::announce_departures(&node, &gossip, &departures);
+        let error = match timeout(WRITE_TIMEOUT, write_row(&node, &*table, departures)).await {
+            Ok(Ok(())) => continue,
+            Ok(Err(e)) => e.to_string(),
+            Err(_late) => "no answer in time".to_owned(),
+        };
+        event!(Warn, StoreDown, "purpose=departure error={error}");
+        // A further departure is written at once.
+        let _changed = timeout(RETRY_DELAY, node.departures.changed.notified()).await;
     }
 }
 
 /// Writes this daemon's row. If the store holds another version than the known one, which an earlier process or a
 /// write whose answer was lost has left, that one is read instead.
-async fn write_row(node: &Node, table: &dyn Table, departures: Vec<Departure>) -> Result<(), StoreError> {
+async fn write_row(node: &Rc<Node>, table: &dyn Table, departures: Vec<Departure>) -> Result<(), StoreError> {
     let key = row_key(&node.directory_key());
     let row = DepartureRow { departures };
     let text =
@@ -139,9 +221,7 @@
     });
     let departures = departures.unwrap_or_default().departures;
     let version = row.map_or(0, |row| row.version);
-    if version >= node.departures.row.borrow().version {
-        node.departures.replace_row(StoredRow { version, departures: departures.clone() });
-    }
+    node.departures.replace_row(StoredRow { version, departures: departures.clone() });
     restore(node, departures);
 }
 
@@ -149,7 +229,38 @@
 pub(crate) fn restore(node: &Node, departures: Vec<Departure>) {
     if !departures.is_empty() {
         node.local_server.restore_departures(departures);
+        node.departures.changed.notify_one();
+    }
+}
+
+/// Records that the store has told this daemon its departures.
+pub(crate) fn on_store_read(node: &Node) {
+    let is_alone = node.peers.borrow().peers_in_centre().next().is_none();
+    node.departures.sources.send_modify(|sources| {
+        sources.store = true;
+        sources.daemon |= is_alone;
+    });
+}
+
+/// Applies the departures that another daemon remembers for this one.
+pub(crate) fn on_recalled(node: &Node, departures: Vec<Departure>) {
+    restore(node, departures);
+    node.departures.sources.send_modify(|sources| sources.daemon = true);
+}
+
+/// Lets the server take work once this process knows the departures that earlier ones acknowledged. Until then a
+/// late heartbeat of a server that has left can't be told from that of a new one.
+pub async fn admit_server_when_known(node: Rc<Node>) {
+    let mut sources = node.departures.sources.subscribe();
+    let both = sources.wait_for(|sources| sources.store && sources.daemon);
+    let is_told_by_both = timeout(BOTH_SOURCES_WAIT, both).await.is_ok();
+    if !is_told_by_both {
+        // An error would mean that the sender is gone, but `node` holds it.
+        let _told = sources.wait_for(|sources| sources.store || sources.daemon).await;
     }
+    let Sources { store, daemon } = *sources.borrow();
+    event!(Info, DeparturesKnown, "store={store} daemon={daemon}");
+    node.local_server.set_departures_known(true);
 }
 
 /// Deletes rows whose daemons have been gone for long.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -255,6 +255,7 @@
     if let Some((key, row)) = rows.iter().find(|(key, _)| is_own(key)) {
         departures::restore_row(node, key, Some(row));
     }
+    departures::on_store_read(node);
     let members: HashSet<Box<str>> = node.peers.borrow().all_peers().map(|p| row_key(&p.addr)).collect();
     let is_abandoned =
         |key: &str| !is_own(key) && departures::daemon_key(key).is_none_or(|d| !members.contains(d));
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -18,9 +18,11 @@
 
 use crate::clock::BootTime;
 use crate::datagram::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
+use crate::departures;
 use crate::digest::Digest;
 use crate::node::Node;
 use crate::peers::StatusOutcome;
+use crate::registration::Departure;
 
 /// Interval at which one daemon sends digests to the other data centres.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -117,6 +119,14 @@
     }
 }
 
+/// Announces departures of this daemon's servers to the other daemons of its data centre.
+pub fn announce_departures(node: &Node, gossip: &Gossip, departures: &[Departure]) {
+    let message = Datagram::Departures { of: node.identity.addr, departures: departures.to_vec() };
+    for to in centre_addrs(node) {
+        gossip.send_datagram(to, &message);
+    }
+}
+
 /// Sends this daemon's status to the other daemons of its data centre.
 pub fn broadcast_status(node: &Node, gossip: &Gossip) {
     for to in centre_addrs(node) {
@@ -170,6 +180,16 @@
             }
             node.admission_changed.notify_waiters();
         }
+        Datagram::Departures { of, departures } => handle_departures(node, from, of, departures, now),
+    }
+}
+
+/// Remembers departures that `from` has acknowledged, or restores those that it remembers for this daemon.
+fn handle_departures(node: &Node, from: DaemonId, of: DaemonId, departures: Vec<Departure>, now: Instant) {
+    if of == node.identity.addr {
+        departures::on_recalled(node, departures);
+    } else if of == from {
+        node.departures.remember(of, departures, now);
     }
 }
 
@@ -238,6 +258,8 @@
     }
     if wants_answer {
         gossip.send_datagram(from, &Datagram::Hello(node.hello(&from, false, false)));
+        let departures = node.departures.recall(&from);
+        gossip.send_datagram(from, &Datagram::Departures { of: from, departures });
     }
     apply_config_status(node, &status);
 }
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -67,7 +67,7 @@
 /// Why a request was declined. A declined request has not run and will not run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DeclineReason {
-    /// No server is registered at the daemon.
+    /// No server is registered at the daemon, or the daemon doesn't know yet whether the server has left.
     #[display("no-server")]
     NoServer,
     /// The server is shutting down.
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -105,6 +105,8 @@
     /// When a call last failed that the server may have made for one of its running requests.
     call_failed_at: Cell<Option<Instant>>,
     is_stopping: Cell<bool>,
+    /// Whether this process knows the departures that earlier ones acknowledged; no request runs before.
+    knows_departures: Cell<bool>,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
 }
@@ -131,6 +133,7 @@
             report_changed: Notify::new(),
             call_failed_at: Cell::new(None),
             is_stopping: Cell::new(false),
+            knows_departures: Cell::new(true),
             ends_at: Cell::new(None),
         }
     }
@@ -184,7 +187,7 @@
         }
     }
 
-    /// Applies departures of servers that an earlier process of this daemon acknowledged.
+    /// Applies departures of servers that earlier processes of this daemon acknowledged, latest first.
     pub fn restore_departures(&self, departures: Vec<Departure>) {
         let mut state = self.state.borrow_mut();
         if state.registration.restore_departures(departures) {
@@ -194,7 +197,14 @@
         }
     }
 
-    /// Departures of servers to be kept in the store, for the next process of this daemon.
+    /// Sets whether this process knows the departures that earlier ones acknowledged. While it doesn't, all
+    /// requests are declined.
+    pub fn set_departures_known(&self, is_known: bool) {
+        self.knows_departures.set(is_known);
+        self.report_changed.notify_one();
+    }
+
+    /// Departures of servers to be kept for the next process of this daemon, latest first.
     pub fn departures(&self) -> Vec<Departure> {
         self.state.borrow().registration.departures()
     }
@@ -245,7 +255,7 @@
         let mean = state.run_times.mean().max(state.queue.longest_run(now) / 2);
         let mean = mean.mul_f64(1.0 + SHED_SLOWDOWN * state.shed_share);
         ServerReport {
-            takes_work: takes_work && !self.is_stopping.get(),
+            takes_work: takes_work && self.knows_departures.get() && !self.is_stopping.get(),
             running: state.queue.running() as u16,
             waiting: state.queue.waiting() as u16,
             slots: state.queue.slots() as u16,
@@ -336,6 +346,9 @@
         if self.is_stopping.get() {
             return Err(RunError::declined(DeclineReason::Stopping));
         }
+        if !self.knows_departures.get() {
+            return Err(RunError::declined(DeclineReason::NoServer));
+        }
         let mut state = self.state.borrow_mut();
         let server = state.registration.serving(&handoff.service).map_err(RunError::declined)?;
         let server = server.heartbeat.id.clone();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,7 +13,6 @@
 use limit::{LocalBuckets, QuotaTolerance};
 use rand::Rng;
 use route::RetryBudget;
-use store::Table;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -118,9 +117,6 @@
     pub(crate) departures: DepartureLog,
     /// Whether the rows of the other daemons have been read at least once.
     pub(crate) has_read_directory: Cell<bool>,
-    /// The store's table; set once the daemon runs.
-    #[debug(skip)]
-    pub(crate) table: RefCell<Option<Rc<dyn Table>>>,
     is_stopping: Cell<bool>,
     /// Time of a graceful stop at which requests still running are answered by the daemon itself; `None`
     /// before a stop.
@@ -161,7 +157,6 @@
             retry_budgets: RefCell::default(),
             departures: DepartureLog::default(),
             has_read_directory: Cell::new(false),
-            table: RefCell::default(),
             is_stopping: Cell::new(false),
             answer_by: Cell::new(None),
             active_requests: Cell::new(0),
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -17,7 +17,7 @@
 const MAX_REMEMBERED_DEPARTURES: usize = 64;
 /// Number of departures that are kept for the next process of the daemon. A few are enough, since an instance
 /// has one server at a time.
-const MAX_STORED_DEPARTURES: usize = 4;
+pub(crate) const MAX_STORED_DEPARTURES: usize = 4;
 
 /// Longest time for which a server can be slow after its start, whatever its heartbeats say.
 const MAX_COLD_TIME: Duration = Duration::from_mins(10);
@@ -76,7 +76,7 @@
 
 /// Adds departures, oldest first, to those in `known`. Only the latest departure of each server is kept, and only
 /// as many as are remembered.
-fn merge_departures(known: &mut Vec<Departure>, more: impl IntoIterator<Item = Departure>) {
+pub(crate) fn merge_departures(known: &mut Vec<Departure>, more: impl IntoIterator<Item = Departure>) {
     for departure in more {
         if known.iter().any(|d| d.includes(&departure)) {
             continue;
--- a/crates/relay/tests/departures.rs
+++ b/crates/relay/tests/departures.rs
@@ -1,7 +1,9 @@
-//! A departure that a daemon has acknowledged holds for its later processes. A late heartbeat must not bring the server back.
+//! A departure that a daemon has acknowledged holds for its later processes, however the earlier one ended and
+//! whatever the store did meanwhile. A late heartbeat must not bring the server back.
 
 mod common;
 
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::Duration;
 
 use common::{Act, Daemon, Fleet, conf, eventually, fleet, on_one_thread, status};
@@ -9,8 +11,11 @@
 
 /// Number of requests that are sent to find out whether a server gets work.
 const REQUESTS: usize = 10;
-/// Pause between these requests.
+/// Pause between these requests. Together they take longer than a daemon waits for what others remember.
 const REQUEST_PAUSE: Duration = Duration::from_millis(100);
+/// What the row of a daemon contains once it holds the departure of the first daemon's server.
+const STORED: &str = r#"{"departures":[{"id":"server-1","born":1}]}"#;
+
 /// Sends a heartbeat from before the departure to `daemon`, and then requests, of which none may run.
 async fn assert_late_heartbeat_brings_no_work(daemon: &Daemon) {
     daemon.register(2, false);
@@ -42,6 +47,64 @@
     });
 }
 
+// Guards against requests for a server that left during an outage of the store (review, case 4).
+#[test]
+fn a_departure_that_is_acknowledged_while_the_store_is_down_is_stored_once_it_answers() {
+    on_one_thread(async {
+        let mut fleet = fleet_with_one_server(1).await;
+        fleet.rows.is_down.store(true, SeqCst);
+        fleet.daemons[0].acknowledge_departure().await;
+        fleet.rows.is_down.store(false, SeqCst);
+        eventually(|| fleet.rows.contain(STORED)).await;
+        let old = fleet.daemons.remove(0);
+        let new = fleet.kill_and_restart(old).await;
+        assert_late_heartbeat_brings_no_work(&new).await;
+    });
+}
+
+// Guards against requests for a server whose daemon was killed before the store answered again.
+#[test]
+fn a_departure_that_was_never_stored_is_known_from_another_daemon() {
+    on_one_thread(async {
+        let mut fleet = fleet_with_one_server(2).await;
+        fleet.rows.is_down.store(true, SeqCst);
+        fleet.daemons[0].acknowledge_departure().await;
+        let old = fleet.daemons.remove(0);
+        let new = fleet.kill_and_restart(old).await;
+        assert_late_heartbeat_brings_no_work(&new).await;
+    });
+}
+
+// Guards against a departure that is lost with the second of two processes.
+#[test]
+fn a_departure_that_another_daemon_remembered_is_stored_by_the_next_process() {
+    on_one_thread(async {
+        let mut fleet = fleet_with_one_server(2).await;
+        fleet.rows.is_down.store(true, SeqCst);
+        fleet.daemons[0].acknowledge_departure().await;
+        let old = fleet.daemons.remove(0);
+        let new = fleet.kill_and_restart(old).await;
+        eventually(|| !new.node.local_server.departures().is_empty()).await;
+        fleet.rows.is_down.store(false, SeqCst);
+        eventually(|| fleet.rows.contain(STORED)).await;
+    });
+}
+
+// Guards against requests for a server that has left, before its restarted daemon could know that.
+#[test]
+fn no_request_runs_before_departures_are_known() {
+    on_one_thread(async {
+        let mut fleet = fleet_with_one_server(1).await;
+        fleet.daemons[0].acknowledge_departure().await;
+        fleet.rows.is_down.store(true, SeqCst);
+        let old = fleet.daemons.remove(0);
+        let new = fleet.kill_and_restart(old).await;
+        assert_late_heartbeat_brings_no_work(&new).await;
+        fleet.rows.is_down.store(false, SeqCst);
+        assert_late_heartbeat_brings_no_work(&new).await;
+    });
+}
+
 // Guards against a new start of a server, under the id that has left, that stays out of use.
 #[test]
 fn a_new_start_of_a_server_that_has_left_is_in_use() {
@@ -56,3 +119,18 @@
         assert_eq!(status(&rep), 200, "{rep}");
     });
 }
+
+// Guards against writes without end, or a departure that counts as missing, after the answer of a write is lost.
+#[test]
+fn a_departure_whose_write_was_not_answered_is_written_once() {
+    on_one_thread(async {
+        let fleet = fleet_with_one_server(1).await;
+        let before = fleet.rows.commits.load(SeqCst);
+        fleet.rows.loses_answers.store(true, SeqCst);
+        fleet.daemons[0].acknowledge_departure().await;
+        assert!(fleet.rows.contain(STORED));
+        sleep(Duration::from_secs(2)).await;
+        // The second transaction finds that the first one has taken effect.
+        assert_eq!(fleet.rows.commits.load(SeqCst) - before, 2);
+    });
+}
