--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -20,6 +20,9 @@
 /// Time after the stop signal in which the daemon still serves new requests, so that callers can be directed
 /// to another daemon.
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Time after the stop signal up to which a request must be complete to be passed on to a server. A later one
+/// might not end before the daemon does.
+const START_AFTER_STOP: Duration = Duration::from_secs(3);
 /// Time before the end of the grace period at which the daemon cuts all connections that are still open.
 const CUT_MARGIN: Duration = Duration::from_millis(400);
 /// Timeout for removing this daemon from the directory.
@@ -124,9 +127,10 @@
     let end_by = Instant::now() + grace;
     let answer_by = Instant::now() + grace.saturating_sub(ANSWER_MARGIN);
     let serve_until = Instant::now() + SERVE_AFTER_STOP;
+    let last_start_at = Instant::now() + START_AFTER_STOP;
     event!(Info, DaemonStopping, "{}", connections.log_fields(node));
     node.local_server.decline_runs_past(answer_by);
-    node.begin_stop(answer_by);
+    node.begin_stop(last_start_at, answer_by);
     sleep_until(serve_until.into()).await;
     node.local_server.stop_accepting();
     gossip::broadcast_status(node, gossip);
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -183,6 +183,9 @@
     let now = Instant::now();
     let (mut head, body) = req.into_parts();
     edge::sanitize::check_request(&head)?;
+    if !node.may_start_request(now) {
+        return Err(stopping_refusal(node, now));
+    }
     let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
     let (conf, route) = find_route(node, conf, &head)?;
     let customer = authenticate(node, &conf, &route, &head.headers).await?;
@@ -196,6 +199,14 @@
         BufferError::Broken => Refusal::BadRequest,
         BufferError::TooLarge { .. } => Refusal::BodyTooLarge,
     })?;
+    let read_at = Instant::now();
+    if !node.may_start_request(read_at) {
+        // The body took so long that the request can't end before the daemon does.
+        if let Some(customer) = &customer {
+            node.token_buckets.borrow_mut().refund_token(customer);
+        }
+        return Err(stopping_refusal(node, read_at));
+    }
     let customer_priority = customer.as_ref().and_then(|c| conf.customers.get(c)).and_then(|c| c.priority);
     let priority = customer_priority.unwrap_or(route.priority);
     let id_hash = base::rendezvous::stable_hash(request_id_bytes(node, &head.headers));
@@ -206,6 +217,12 @@
     Ok(Admitted { route, route_hash, service, customer, priority, objective_at, deadline, head, body })
 }
 
+/// Refusal of a request that came too late in a graceful stop. The next process is there after this one's end.
+fn stopping_refusal(node: &Node, now: Instant) -> RequestRefusal {
+    let left = node.answer_deadline(now + MAX_RETRY_AFTER).saturating_duration_since(now);
+    RequestRefusal::after(Refusal::Stopping, left)
+}
+
 fn request_id_bytes<'a>(node: &Node, headers: &'a HeaderMap) -> &'a [u8] {
     headers.get(&node.header_names.request_id).map_or(&[], HeaderValue::as_bytes)
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -121,6 +121,8 @@
     /// Time of a graceful stop at which requests still running are answered by the daemon itself; `None`
     /// before a stop.
     answer_by: Cell<Option<Instant>>,
+    /// Time of a graceful stop after which no request is passed on any more; `None` before a stop.
+    last_start_at: Cell<Option<Instant>>,
     active_requests: Cell<usize>,
 }
 
@@ -159,6 +161,7 @@
             has_read_directory: Cell::new(false),
             is_stopping: Cell::new(false),
             answer_by: Cell::new(None),
+            last_start_at: Cell::new(None),
             active_requests: Cell::new(0),
             bounds,
             incarnation: Cell::new(identity.incarnation),
@@ -248,9 +251,16 @@
         self.answer_by.get().map_or(deadline, |by| by.min(deadline))
     }
 
-    /// Begins a graceful stop. Requests still running at `answer_by` are answered by the daemon itself.
-    pub fn begin_stop(&self, answer_by: Instant) {
+    /// Whether a request that is complete at `now` may still be passed on to a server.
+    pub(crate) fn may_start_request(&self, now: Instant) -> bool {
+        self.last_start_at.get().is_none_or(|at| now < at)
+    }
+
+    /// Begins a graceful stop. Requests that are complete only after `last_start_at` are refused, and those still
+    /// running at `answer_by` are answered by the daemon itself.
+    pub fn begin_stop(&self, last_start_at: Instant, answer_by: Instant) {
         self.is_stopping.set(true);
+        self.last_start_at.set(Some(last_start_at));
         self.answer_by.set(Some(answer_by));
         self.status_changed.notify_one();
     }
--- a/crates/relay/tests/stopping_daemons.rs
+++ b/crates/relay/tests/stopping_daemons.rs
@@ -123,3 +123,51 @@
         assert_eq!(status(&rep), 503, "{rep}");
     });
 }
+
+/// Time after the stop signal at which a request arrives that can't end within the grace period.
+const LATE_AFTER_STOP: Duration = Duration::from_millis(4_600);
+/// Time for which an order runs that is passed on then.
+const LATE_RUN_MS: u64 = 2_000;
+
+// Guards against orders that are passed on late in a planned stop and cut at its end.
+#[test]
+fn an_order_whose_upload_ends_late_in_a_stop_is_not_passed_on() {
+    on_one_thread(async {
+        let act: &[Act] = &[Act::After(LATE_RUN_MS)];
+        let fleet = fleet(&[act, act], conf).await;
+        let stopping = &fleet.daemons[0];
+        let mut caller = connect(stopping).await;
+        let order = request("POST", "/order/a", "r1", "one crate of candles");
+        let (begun, rest) = order.split_at(order.len() - 8);
+        caller.write_all(begun.as_bytes()).await.expect("the daemon reads");
+        let stopped = Instant::now();
+        stopping.stop.cancel();
+        sleep_until((stopped + LATE_AFTER_STOP).into()).await;
+        caller.write_all(rest.as_bytes()).await.expect("the daemon reads");
+        let rep = read_until(&mut caller, "\r\n\r\n").await;
+        assert_eq!((status(&rep), fleet.runs()), (503, 0), "{rep}");
+    });
+}
+
+// Guards against orders that wait behind a slow download and are passed on late in a planned stop.
+#[test]
+fn an_order_behind_a_download_that_ends_late_in_a_stop_is_not_passed_on() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Large(ANSWER_BYTES, 100)], &[Act::After(LATE_RUN_MS)]], conf).await;
+        let stopping = &fleet.daemons[0];
+        let mut caller = connect_with_small_segments(stopping.callers).await;
+        let download = request("GET", "/stock/a", "r1", "");
+        caller.write_all(download.as_bytes()).await.expect("the daemon reads");
+        let (begun, _) = read_slowly(&mut caller, 1, Duration::ZERO, |rep| !rep.is_empty()).await;
+        let stopped = Instant::now();
+        stopping.stop.cancel();
+        caller.write_all(request("POST", "/order/a", "r2", "").as_bytes()).await.expect("the daemon reads");
+        sleep_until((stopped + LATE_AFTER_STOP).into()).await;
+        let (rest, end) = read_slowly(&mut caller, BYTES_PER_READ, Duration::ZERO, |_| false).await;
+        let rep = [begun, rest].concat();
+        let answers = parse_answers(&rep);
+        assert_eq!(answers.first().map(|(_, body)| body.len()), Some(ANSWER_BYTES), "{end}");
+        assert_eq!(fleet.daemons[1].runs(), 0, "the order ran; {answers:?}", answers = answers.get(1));
+        assert!(answers.get(1).is_none_or(|(status, _)| *status == 503), "{end}");
+    });
+}
