--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -170,7 +170,7 @@
 /// Why a body could not be buffered.
 #[derive(Debug, Display, Error)]
 pub enum BufferError {
-    /// The body ended early.
+    /// The body ended early, or before its stated length.
     #[display("body broke off before its end; send it again")]
     Broken,
     /// The body is larger than the limit.
@@ -189,6 +189,8 @@
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
+    // An answer to a HEAD request states the length of a body that it doesn't have.
+    let stated_bytes = body.size_hint().exact().filter(|_| !body.is_end_stream());
     let mut buffered = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| BufferError::Broken)?;
@@ -198,5 +200,9 @@
         }
         buffered.extend_from_slice(&data);
     }
+    // hyper ends the body of an HTTP/2 stream without an error if the sender resets the stream with `NO_ERROR`.
+    if stated_bytes.is_some_and(|stated| stated != buffered.len() as u64) {
+        return Err(BufferError::Broken);
+    }
     Ok(buffered.freeze())
 }
