--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -154,7 +154,7 @@
                 event!(Info, ServerAnnounced, "server={id} born={born} sequence={sequence} slots={slots}");
             }
             HeartbeatOutcome::Updated => state.down_until = None,
-            HeartbeatOutcome::Late | HeartbeatOutcome::Outdated => {
+            HeartbeatOutcome::Late | HeartbeatOutcome::Outdated | HeartbeatOutcome::ServiceChanged => {
                 event!(
                     Debug,
                     ServerAnnounced,
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -48,6 +48,8 @@
     Registered,
     /// The registered server's state was updated.
     Updated,
+    /// Ignored: names another service than the earlier heartbeats of the same incarnation.
+    ServiceChanged,
     /// Ignored: a later heartbeat was applied already.
     Late,
     /// Ignored: the heartbeat belongs to an earlier incarnation, or to one that has departed.
@@ -129,8 +131,15 @@
             self.server = Some(RegisteredServer { heartbeat, cold_until });
             return HeartbeatOutcome::Registered;
         }
+        if heartbeat.service != old.service {
+            return HeartbeatOutcome::ServiceChanged;
+        }
         if heartbeat.sequence <= old.sequence {
-            return HeartbeatOutcome::Late;
+            // Draining is final for one incarnation, so it counts also if the heartbeat is late.
+            if !heartbeat.draining || old.draining {
+                return HeartbeatOutcome::Late;
+            }
+            heartbeat = Heartbeat { draining: true, ..old.clone() };
         }
         heartbeat.draining |= old.draining;
         self.server = Some(RegisteredServer { heartbeat, cold_until });
--- a/crates/relay/tests/registration.rs
+++ b/crates/relay/tests/registration.rs
@@ -132,3 +132,28 @@
         [Departure { id: "s2".into(), born: 7 }, Departure { id: "s1".into(), born: 5 }].to_vec();
     assert_eq!(registration.departures(), latest_first);
 }
+
+// Guards against requests that run at the server of another service, after a heartbeat of another writer.
+#[test]
+fn a_heartbeat_does_not_turn_a_server_over_to_another_service() {
+    let mut registration = registered([heartbeat(1, 1)]);
+    let odd = Heartbeat { service: "bodega".into(), ..heartbeat(1, 2) };
+    assert_eq!(registration.apply_heartbeat(odd, Instant::now()), HeartbeatOutcome::ServiceChanged);
+    assert!(serves(&registration));
+}
+
+#[test]
+fn a_server_that_starts_anew_may_be_of_another_service() {
+    let mut registration = registered([heartbeat(1, 9)]);
+    let next = Heartbeat { service: "bodega".into(), ..heartbeat(2, 1) };
+    assert_eq!(registration.apply_heartbeat(next, Instant::now()), HeartbeatOutcome::Registered);
+    assert_eq!(registration.serving("bodega").err(), None);
+}
+
+// Guards against an acknowledged draining without effect, after a heartbeat with too large a sequence number.
+#[test]
+fn draining_counts_although_a_later_heartbeat_was_applied() {
+    let mut registration = registered([heartbeat(1, 1_000_000), draining(1, 4)]);
+    assert_eq!(registration.serving("sacristia").err(), Some(DeclineReason::Draining));
+    assert_eq!(registration.apply_heartbeat(draining(1, 5), Instant::now()), HeartbeatOutcome::Late);
+}
