--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,14 +12,15 @@
 use base::DaemonId;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::http::response::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response, Uri};
 use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
-use crate::body::{Body, MAX_BUFFERED_BYTES, buffer_body};
+use crate::body::{Body, BufferError, MAX_BUFFERED_BYTES, buffer_body};
 use crate::digest::RelayedReport;
 use crate::exchange::OVERDUE_FACTOR;
 use crate::handoff::{
@@ -134,10 +135,19 @@
         timeout_at(until.into(), run).await.unwrap_or(AttemptOutcome::Failed(RunError::Overdue))
     }
 
-    async fn run_locally(self) -> AttemptOutcome {
-        match self.node.local_server.run_request(&self.handoff, self.req).await {
-            Ok(rep) => AttemptOutcome::Answered(Box::new(rep)),
-            Err(error) => AttemptOutcome::Failed(error),
+    async fn run_locally(mut self) -> AttemptOutcome {
+        let req = std::mem::take(&mut self.req);
+        let (parts, body) = match self.node.local_server.run_request(&self.handoff, req).await {
+            Ok(rep) => rep.into_parts(),
+            Err(error) => return AttemptOutcome::Failed(error),
+        };
+        if matches!(body, Body::Whole(_)) || self.must_stream(&body) {
+            return AttemptOutcome::Answered(Box::new(Response::from_parts(parts, body)));
+        }
+        // A request whose answer breaks off can run elsewhere, and those behind it on the connection go on.
+        match buffer_body(body, MAX_BUFFERED_BYTES).await {
+            Ok(bytes) => whole_answer(parts, bytes),
+            Err(e) => self.broken_answer(&e),
         }
     }
 
@@ -201,20 +211,31 @@
             return AttemptOutcome::Failed(error);
         }
         parts.version = hyper::Version::HTTP_11;
-        if body.size_hint().upper().is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+        if self.must_stream(&body) {
             let rep = Response::from_parts(parts, Body::streamed(body, None, self.answer_until()));
             return AttemptOutcome::Answered(Box::new(rep));
         }
-        let bytes = match buffer_body(body, MAX_BUFFERED_BYTES).await {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                log::debug!("answer of daemon {} to request {} not usable: {e}", self.to, self.id);
-                return AttemptOutcome::Failed(RunError::Broken);
+        match buffer_body(body, MAX_BUFFERED_BYTES).await {
+            Ok(bytes) => {
+                self.record_response_size(bytes.len());
+                whole_answer(parts, bytes)
             }
-        };
-        self.record_response_size(bytes.len());
-        parts.headers.remove(CONTENT_LENGTH);
-        AttemptOutcome::Answered(Box::new(Response::from_parts(parts, Body::whole(bytes))))
+            Err(e) => self.broken_answer(&e),
+        }
+    }
+
+    /// Whether an answer is too large to be buffered. Records the route if so.
+    fn must_stream(&self, body: &impl HttpBody) -> bool {
+        let is_too_large = body.size_hint().upper().is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64);
+        if is_too_large {
+            self.node.streamed_routes.borrow_mut().insert(self.handoff.route_hash);
+        }
+        is_too_large
+    }
+
+    fn broken_answer(&self, e: &BufferError) -> AttemptOutcome {
+        log::debug!("answer of daemon {} to request {} not usable: {e}", self.to, self.id);
+        AttemptOutcome::Failed(RunError::Broken)
     }
 
     fn record_response_size(&self, bytes: usize) {
@@ -223,3 +244,9 @@
         *mean += NEW_SIZE_WEIGHT * (bytes as f64 - *mean);
     }
 }
+
+/// An answer whose body has been buffered.
+fn whole_answer(mut parts: Parts, bytes: Bytes) -> AttemptOutcome {
+    parts.headers.remove(CONTENT_LENGTH);
+    AttemptOutcome::Answered(Box::new(Response::from_parts(parts, Body::whole(bytes))))
+}
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -211,7 +211,7 @@
     let priority = customer_priority.unwrap_or(route.priority);
     let id_hash = base::rendezvous::stable_hash(request_id_bytes(node, &head.headers));
     let service = route.service_for(id_hash).clone();
-    let route_hash = base::rendezvous::stable_hash(route.name.as_bytes()) as u32;
+    let route_hash = route_hash(&route);
     let objective_at = now + route.objective;
     sanitize_head(node, &mut head)?;
     Ok(Admitted { route, route_hash, service, customer, priority, objective_at, deadline, head, body })
@@ -227,6 +227,11 @@
     headers.get(&node.header_names.request_id).map_or(&[], HeaderValue::as_bytes)
 }
 
+/// Hash of a route's name, by which what is learnt of the route is kept.
+pub(crate) fn route_hash(route: &Route) -> u32 {
+    base::rendezvous::stable_hash(route.name.as_bytes()) as u32
+}
+
 /// Finds the route of a request, and the configuration that has it. A daemon whose proof is old may not know
 /// a new route yet, so it answers that it is not ready rather than that there is no such route.
 fn find_route(
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! Shared state of one daemon. All its tasks run on one thread, so the fields need no locks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -106,6 +106,8 @@
     /// Token buckets that hold this daemon's share of each customer's rate.
     pub(crate) token_buckets: RefCell<LocalBuckets>,
     pub(crate) response_sizes: RefCell<ResponseSizes>,
+    /// Hashes of the names of routes on which an answer was too large to be buffered.
+    pub(crate) streamed_routes: RefCell<HashSet<u32>>,
     /// Time from hand-off to answer for each route, over all servers.
     pub(crate) answer_times: RefCell<RunTimes>,
     /// When tokens of a customer were last requested from another data centre.
@@ -153,6 +155,7 @@
             freshness: RefCell::default(),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
+            streamed_routes: RefCell::default(),
             answer_times: RefCell::default(),
             last_refills: RefCell::default(),
             gossip: RefCell::default(),
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -2,15 +2,18 @@
 //!
 //! hyper reads the next request of a connection only after it has answered the previous one. Answers must
 //! keep that order, but running a request needn't wait: one behind an unanswered request is started at once
-//! if it may run more than once and has no body. What hyper reads stays authoritative. The answer to a
+//! if it may run more than once and has no body. If the answer in front breaks off while it is streamed, the
+//! connection ends and those behind are lost, so none is started behind a route with such answers. What hyper reads stays authoritative. The answer to a
 //! request that was started early is used only if hyper then reads the same request, and is dropped
 //! otherwise.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use conf::Route;
 use http_body_util::Empty;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -30,7 +33,14 @@
 
 /// A request whose head has arrived, but which hyper has not read yet.
 #[derive(Debug)]
-enum QueuedRequest {
+struct QueuedRequest {
+    state: QueuedState,
+    /// Whether its answer may be streamed.
+    may_stream: bool,
+}
+
+#[derive(Debug)]
+enum QueuedState {
     /// The request is served when hyper reads it.
     Unstarted,
     /// The request has been started early.
@@ -63,6 +73,8 @@
     started: Notify,
     /// Number of requests that hyper has read and that are not answered yet.
     unanswered: Cell<usize>,
+    /// Whether the answer to the request that hyper has read last may be streamed.
+    current_may_stream: Cell<bool>,
     /// Whether the connection will close after the answer to the current request.
     is_last: Cell<bool>,
 }
@@ -76,6 +88,7 @@
             has_received: Cell::new(false),
             started: Notify::new(),
             unanswered: Cell::new(0),
+            current_may_stream: Cell::new(false),
             is_last: Cell::new(false),
         }
     }
@@ -95,15 +108,21 @@
         // A stopping daemon closes its connections, but would first have to answer every request that it has
         // started.
         let is_closing = self.is_last.get() || self.node.is_stopping();
-        let may_start = must_wait && has_room && length == Some(0) && !is_closing;
-        let early = if may_start { self.start_early(head) } else { None };
-        self.queue.borrow_mut().push_back(early.map_or(QueuedRequest::Unstarted, QueuedRequest::Started));
+        let is_behind_stream =
+            self.current_may_stream.get() || self.queue.borrow().iter().any(|queued| queued.may_stream);
+        let may_start = must_wait && has_room && length == Some(0) && !is_closing && !is_behind_stream;
+        let has_streamed = !self.node.streamed_routes.borrow().is_empty();
+        let parts = (may_start || has_streamed).then(|| parse_head(head)).flatten();
+        let may_stream = has_streamed && parts.as_ref().is_none_or(|parts| self.may_stream(parts));
+        let early = parts.filter(|_| may_start).and_then(|parts| self.start_early(parts));
+        let state = early.map_or(QueuedState::Unstarted, QueuedState::Started);
+        self.queue.borrow_mut().push_back(QueuedRequest { state, may_stream });
     }
 
     /// Whether a request behind the current one has been started early, so that the connection must stay open
     /// for its answer.
     pub fn has_started(&self) -> bool {
-        self.queue.borrow().iter().any(|queued| matches!(queued, QueuedRequest::Started(_)))
+        self.queue.borrow().iter().any(|queued| matches!(queued.state, QueuedState::Started(_)))
     }
 
     /// Waits until a request behind the current one has been started early.
@@ -131,8 +150,9 @@
     {
         let queued = self.queue.borrow_mut().pop_front();
         self.unanswered.set(self.unanswered.get() + 1);
-        let rep = match queued {
-            Some(QueuedRequest::Started(early)) if early.matches(&req, &self.node) => {
+        self.current_may_stream.set(queued.as_ref().is_some_and(|queued| queued.may_stream));
+        let rep = match queued.map(|queued| queued.state) {
+            Some(QueuedState::Started(early)) if early.matches(&req, &self.node) => {
                 early.finish(&self.node, req).await
             }
             _ => ingress::serve_request(Rc::clone(&self.node), req).await,
@@ -141,8 +161,7 @@
         rep
     }
 
-    fn start_early(&self, head: &[u8]) -> Option<EarlyRequest> {
-        let parts = parse_head(head)?;
+    fn start_early(&self, parts: Parts) -> Option<EarlyRequest> {
         if !self.is_repeatable(&parts) {
             return None;
         }
@@ -155,10 +174,20 @@
     }
 
     fn is_repeatable(&self, parts: &Parts) -> bool {
+        parts.method == Method::GET
+            && self.route(parts).is_some_and(|r| r.is_repeatable(parts.method.as_str()))
+    }
+
+    /// Whether an answer on the request's route was streamed before.
+    fn may_stream(&self, parts: &Parts) -> bool {
+        let streamed_routes = self.node.streamed_routes.borrow();
+        self.route(parts).is_some_and(|route| streamed_routes.contains(&ingress::route_hash(&route)))
+    }
+
+    fn route(&self, parts: &Parts) -> Option<Arc<Route>> {
         let host = edge::admit::request_host(parts);
-        let conf = self.node.conf();
-        let route = conf.as_ref().and_then(|c| c.match_route(host, parts.uri.path(), parts.method.as_str()));
-        parts.method == Method::GET && route.is_some_and(|r| r.is_repeatable(parts.method.as_str()))
+        let conf = self.node.conf()?;
+        conf.match_route(host, parts.uri.path(), parts.method.as_str()).cloned()
     }
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons with scripted backend servers on loopback, and callers of them.
 #![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
+pub mod cut;
 pub mod endless;
 
 use std::cell::{Cell, RefCell};
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -531,7 +531,8 @@
 #[test]
 fn a_slot_is_free_once_its_large_answer_is_whole() {
     on_one_thread(async {
-        let bytes = 192 * 1024;
+        // More than a caller's daemon buffers.
+        let bytes = 1_100 * 1024;
         let fleet = fleet(&[&[Act::Large(bytes, 0)]], conf).await;
         let daemon = &fleet.daemons[0];
         let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -6,7 +6,7 @@
 
 use common::{
     Act, Daemon, Fleet, KEY, conf, connect_with_small_buffer, connect_with_small_segments, eventually, fleet,
-    large_body, on_one_thread, parse_answers, read_slowly,
+    large_body, long_objective_conf, on_one_thread, parse_answers, read_slowly,
 };
 use conf::{KeyHasher, Snapshot};
 use rstest::rstest;
@@ -30,9 +30,11 @@
 enum AnswerPath {
     /// Buffered by the caller's daemon, which is also the one beside the server.
     Buffered,
+    /// Buffered by the caller's daemon, at up to 1 MiB, after its part beside the server has streamed it.
+    BufferedLarge,
     /// Buffered by the caller's daemon, at up to 1 MiB, after the daemon beside the server has streamed it.
     BufferedRemote,
-    /// Streamed by the caller's daemon, which is also the one beside the server.
+    /// Streamed by the caller's daemon, at over 1 MiB, which is also the one beside the server.
     Streamed,
     /// Streamed by the caller's daemon, at over 1 MiB, and by the daemon beside the server.
     StreamedRemote,
@@ -43,8 +45,8 @@
         match self {
             AnswerPath::Buffered => 64 * 1024,
             AnswerPath::BufferedRemote => 800 * 1024,
-            AnswerPath::Streamed => 192 * 1024,
-            AnswerPath::StreamedRemote => 1_100 * 1024,
+            AnswerPath::BufferedLarge => 192 * 1024,
+            AnswerPath::Streamed | AnswerPath::StreamedRemote => 1_100 * 1024,
         }
     }
 
@@ -52,7 +54,9 @@
     async fn fleet(self, conf: fn(&KeyHasher) -> Snapshot) -> Fleet {
         let act: &[Act] = &[Act::Large(self.bytes(), RUN_MS)];
         match self {
-            AnswerPath::Buffered | AnswerPath::Streamed => fleet(&[act], conf).await,
+            AnswerPath::Buffered | AnswerPath::BufferedLarge | AnswerPath::Streamed => {
+                fleet(&[act], conf).await
+            }
             AnswerPath::BufferedRemote | AnswerPath::StreamedRemote => {
                 let fleet = fleet(&[act, act], conf).await;
                 fleet.daemons[0].register(2, true);
@@ -93,6 +97,7 @@
 
 #[rstest]
 #[case::buffered(AnswerPath::Buffered)]
+#[case::buffered_large(AnswerPath::BufferedLarge)]
 #[case::buffered_remote(AnswerPath::BufferedRemote)]
 #[case::streamed(AnswerPath::Streamed)]
 #[case::streamed_remote(AnswerPath::StreamedRemote)]
@@ -231,10 +236,16 @@
     });
 }
 
-#[test]
-fn a_slow_caller_does_not_make_its_server_suspect() {
+#[rstest]
+#[case::buffered_large(AnswerPath::BufferedLarge, conf)]
+// No run ends, so the run time is not learnt, and the objective decides what is overdue.
+#[case::streamed(AnswerPath::Streamed, long_objective_conf)]
+fn a_slow_caller_does_not_make_its_server_suspect(
+    #[case] path: AnswerPath,
+    #[case] make_snapshot: fn(&KeyHasher) -> Snapshot,
+) {
     on_one_thread(async {
-        let fleet = AnswerPath::Streamed.fleet(conf).await;
+        let fleet = path.fleet(make_snapshot).await;
         let daemon = &fleet.daemons[0];
         for n in 0..4 {
             let mut caller = connect_with_small_segments(daemon.callers).await;
