--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -229,12 +229,17 @@
     pub fn with(rows: &[(&str, &str)]) -> Self {
         let left = Self::default();
         for (key, value) in rows {
-            let commit = Commit { checks: Vec::new(), writes: vec![store::Write::put(key, value)] };
-            left.apply(&StoreOp::Commit(commit)).expect("the row is written");
+            left.write(key, value);
         }
         left
     }
 
+    /// Another writer writes a row.
+    pub fn write(&self, key: &str, value: &str) {
+        let commit = Commit { checks: Vec::new(), writes: vec![store::Write::put(key, value)] };
+        self.apply(&StoreOp::Commit(commit)).expect("the row is written");
+    }
+
     /// Rows that can't be read or written.
     pub fn down() -> Self {
         Self { is_down: AtomicBool::new(true), ..Self::default() }
--- a/crates/relay/tests/departures.rs
+++ b/crates/relay/tests/departures.rs
@@ -134,3 +134,15 @@
         assert_eq!(fleet.rows.commits.load(SeqCst) - before, 2);
     });
 }
+
+// Guards against a row of another writer that hides the departures of a daemon, or ends it.
+#[test]
+fn an_odd_row_in_the_place_of_departures_is_replaced() {
+    on_one_thread(async {
+        let fleet = fleet_with_one_server(1).await;
+        let key = format!("daemon/{}/departures", fleet.daemons[0].node.identity.addr);
+        fleet.rows.write(&key, r#"{"departures":[{"id":"server-1","born":1e400}]}"#);
+        fleet.daemons[0].acknowledge_departure().await;
+        eventually(|| fleet.rows.contain(STORED)).await;
+    });
+}
--- a/crates/relay/tests/odd_rows.rs
+++ b/crates/relay/tests/odd_rows.rs
@@ -29,6 +29,9 @@
 #[case::address_of_another_row("daemon/127.0.0.1:9", row(r#""127.0.0.1:10""#, "1"))]
 #[case::address_of_another_type("daemon/127.0.0.1:9", row("9", "1"))]
 #[case::no_address("daemon/", "{}".to_owned())]
+#[case::departures_not_json("daemon/127.0.0.1:9/departures", "{".to_owned())]
+#[case::departures_deeply_nested("daemon/127.0.0.1:9/departures", nested())]
+#[case::departure_of_no_daemon("daemon//departures", r#"{"departures":[{"id":"s1","born":1e400}]}"#.to_owned())]
 #[case::field_twice("daemon/127.0.0.1:9", row(r#""127.0.0.1:9","addr":"127.0.0.1:9""#, "1"))]
 fn an_odd_row_names_no_daemon_and_hides_no_other(#[case] key: &str, #[case] value: String) {
     on_one_thread(async {
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -319,6 +319,22 @@
     });
 }
 
+// Guards against a withdrawn key that is in use again after a restart, by a configuration of another daemon.
+#[test]
+fn a_restarted_daemon_does_not_take_an_old_configuration_for_proven() {
+    on_one_thread(async {
+        let mut fleet = fleet(&[&[Act::Answer], &[Act::Answer]], conf).await;
+        fleet.source.is_up.set(false);
+        eventually(|| fleet.daemons.iter().all(|d| !d.node.is_conf_fresh())).await;
+        let old = fleet.daemons.remove(0);
+        let new = fleet.kill_and_restart(old).await;
+        eventually(|| new.node.conf().is_some()).await;
+        assert_eq!(status(&new.get("/stock/a", "r1").await), 503);
+        assert_eq!(fleet.runs() + new.runs(), 0);
+        assert_eq!(status(&new.get("/open/a", "r2").await), 200);
+    });
+}
+
 /// The daemon of rank 0, which asks the source on behalf of its data centre.
 fn lowest_ranked(fleet: &common::Fleet) -> &common::Daemon {
     fleet.daemons.iter().min_by_key(|d| d.node.identity.addr).expect("there are daemons")
