--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -67,6 +67,8 @@
     TokensUnconfirmed "tokens-unconfirmed" 503 No "retry; operators: see shares and delegations in `pomeloctl status`";
     /// The service's queue is full, or the part of it that one customer may use.
     QueueFull "queue-full" 503 No "retry later with backoff; operators: add servers to the service";
+    /// Bodies of other requests take the memory that the body needs.
+    BodyMemory "body-memory" 503 No "retry later with backoff; operators: give instances more memory";
     /// The deadline would pass before a server could be reached.
     DeadlineTooShort "deadline-too-short" 504 No "send a longer deadline or retry when load falls";
     /// The service has no server that may take work.
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -179,29 +179,58 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// Other bodies take too much memory.
+    #[display("no memory for the body now; send it again later")]
+    NoMemory,
 }
 
 /// Reads a whole body into memory.
 ///
 /// # Errors
 /// Fails if the body breaks off or is larger than `limit` bytes.
-pub async fn buffer_body<B>(mut body: B, limit: usize) -> Result<Bytes, BufferError>
+pub async fn buffer_body<B>(body: B, limit: usize) -> Result<Bytes, BufferError>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    collect_body(body, limit, |_capacity| true).await
+}
+
+/// Reads a whole body into memory. Asks `may_take` before it takes more memory, with the sum in bytes.
+///
+/// # Errors
+/// Fails if the body breaks off, is larger than `limit` bytes, or may not take the memory that it needs.
+pub(crate) async fn collect_body<B>(
+    mut body: B,
+    limit: usize,
+    mut may_take: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BufferError>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
     // An answer to a HEAD request states the length of a body that it doesn't have.
     let stated_bytes = body.size_hint().exact().filter(|_| !body.is_end_stream());
-    let mut buffered = BytesMut::new();
+    let stated_bytes = stated_bytes.map(|stated| usize::try_from(stated).unwrap_or(usize::MAX));
+    if stated_bytes.is_some_and(|stated| stated > limit) {
+        return Err(BufferError::TooLarge { limit });
+    }
+    if !may_take(stated_bytes.unwrap_or(0)) {
+        return Err(BufferError::NoMemory);
+    }
+    let mut buffered = BytesMut::with_capacity(stated_bytes.unwrap_or(0));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_broken| BufferError::Broken)?;
         let Ok(data) = frame.into_data() else { continue };
         if buffered.len() + data.len() > limit {
             return Err(BufferError::TooLarge { limit });
         }
+        buffered.reserve(data.len());
+        if !may_take(buffered.capacity()) {
+            return Err(BufferError::NoMemory);
+        }
         buffered.extend_from_slice(&data);
     }
     // hyper ends the body of an HTTP/2 stream without an error if the sender resets the stream with `NO_ERROR`.
-    if stated_bytes.is_some_and(|stated| stated != buffered.len() as u64) {
+    if stated_bytes.is_some_and(|stated| stated != buffered.len()) {
         return Err(BufferError::Broken);
     }
     Ok(buffered.freeze())
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -20,7 +20,8 @@
 use tokio::time::timeout_at;
 
 use crate::attempts::Attempts;
-use crate::body::{Body, BufferError, buffer_body};
+use crate::body::{Body, BufferError};
+use crate::body_memory::{ReservedMemory, buffer_request_body};
 use crate::gossip;
 use crate::node::Node;
 
@@ -72,6 +73,8 @@
     /// Head for the server: without hop-by-hop headers, the API key, and headers that only daemons may set.
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
+    /// Memory for `body`, reserved until the request is answered.
+    pub(crate) _body_memory: ReservedMemory,
 }
 
 /// Serves one request of a caller.
@@ -166,11 +169,7 @@
         node.local_server.record_failed_call(Instant::now());
     }
     result.map_err(|refused| {
-        if let Some(customer) =
-            admitted.customer.as_ref().filter(|_| refused.refusal.executed() == Executed::No)
-        {
-            node.token_buckets.borrow_mut().refund_token(customer);
-        }
+        refund_token(node, admitted.customer.as_ref().filter(|_| refused.refusal.executed() == Executed::No));
         RequestRefusal { customer: admitted.customer.clone(), ..refused }
     })
 }
@@ -194,17 +193,19 @@
         take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
     }
     let max_bytes = conf.limits.max_body_bytes;
-    let body = timeout_at(deadline.into(), buffer_body(body, max_bytes)).await;
-    let body = body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
-        BufferError::Broken => Refusal::BadRequest,
-        BufferError::TooLarge { .. } => Refusal::BodyTooLarge,
+    let body = timeout_at(deadline.into(), buffer_request_body(body, max_bytes, &node.body_memory)).await;
+    let (body, body_memory) = body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
+        BufferError::Broken => Refusal::BadRequest.into(),
+        BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
+        BufferError::NoMemory => {
+            refund_token(node, customer.as_ref());
+            RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
+        }
     })?;
     let read_at = Instant::now();
     if !node.may_start_request(read_at) {
         // The body took so long that the request can't end before the daemon does.
-        if let Some(customer) = &customer {
-            node.token_buckets.borrow_mut().refund_token(customer);
-        }
+        refund_token(node, customer.as_ref());
         return Err(stopping_refusal(node, read_at));
     }
     let customer_priority = customer.as_ref().and_then(|c| conf.customers.get(c)).and_then(|c| c.priority);
@@ -214,7 +215,25 @@
     let route_hash = route_hash(&route);
     let objective_at = now + route.objective;
     sanitize_head(node, &mut head)?;
-    Ok(Admitted { route, route_hash, service, customer, priority, objective_at, deadline, head, body })
+    Ok(Admitted {
+        route,
+        route_hash,
+        service,
+        customer,
+        priority,
+        objective_at,
+        deadline,
+        head,
+        body,
+        _body_memory: body_memory,
+    })
+}
+
+/// Gives back the token that a request has taken, if it was for a customer.
+fn refund_token(node: &Node, customer: Option<&CustomerId>) {
+    if let Some(customer) = customer {
+        node.token_buckets.borrow_mut().refund_token(customer);
+    }
 }
 
 /// Refusal of a request that came too late in a graceful stop. The next process is there after this one's end.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod attempt;
 pub mod attempts;
 pub mod body;
+pub mod body_memory;
 pub mod clock;
 mod closing;
 pub mod config_refresh;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -22,7 +22,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::body::{Body, buffer_body};
+use crate::body::{Body, BufferError, buffer_body};
+use crate::body_memory::buffer_request_body;
 use crate::exec::LocalExec;
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
@@ -268,8 +269,13 @@
     };
     let max_bytes = node.conf().map(|c| c.limits).unwrap_or_default().max_body_bytes;
     let run = async {
-        let body = buffer_body(body, max_bytes).await;
-        let body = body.map_err(|_broken| RunError::declined(DeclineReason::Unreachable))?;
+        let body = buffer_request_body(body, max_bytes, &node.body_memory).await;
+        let (body, _reserved) = body.map_err(|e| match e {
+            BufferError::NoMemory => RunError::declined(DeclineReason::Busy),
+            BufferError::Broken | BufferError::TooLarge { .. } => {
+                RunError::declined(DeclineReason::Unreachable)
+            }
+        })?;
         restore_host(&mut parts);
         node.local_server.run_request(&handoff, Request::from_parts(parts, body)).await
     };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::attempts::ResponseSizes;
+use crate::body_memory::BodyMemory;
 use crate::clock::BootTime;
 use crate::config_refresh::FetchedConfig;
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
@@ -54,7 +55,7 @@
     pub is_first_start: bool,
 }
 
-/// Limits that operators set for the whole fleet.
+/// Limits that operators set for the fleet and its instances.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Age of the proof that the configuration is the newest one, up to which API keys are accepted or
@@ -65,6 +66,8 @@
     /// How far a customer may exceed its rate because daemons divide the rate without asking each other per
     /// request.
     pub rate_tolerance: QuotaTolerance,
+    /// Memory in bytes that bodies of requests may take at a time.
+    pub body_memory: usize,
 }
 
 /// State of one daemon.
@@ -103,6 +106,8 @@
     /// The configuration in force as encoded by its source, to be passed on to other daemons.
     pub(crate) raw_conf: RefCell<Bytes>,
     pub(crate) freshness: RefCell<Freshness>,
+    /// Memory for bodies of requests.
+    pub(crate) body_memory: Rc<BodyMemory>,
     /// Token buckets that hold this daemon's share of each customer's rate.
     pub(crate) token_buckets: RefCell<LocalBuckets>,
     pub(crate) response_sizes: RefCell<ResponseSizes>,
@@ -153,6 +158,7 @@
             admission_changed: Notify::new(),
             raw_conf: RefCell::default(),
             freshness: RefCell::default(),
+            body_memory: BodyMemory::new(bounds.body_memory),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
             streamed_routes: RefCell::default(),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -45,6 +45,8 @@
 pub const SERVICE: &str = "sacristia";
 /// Timeout for anything that a test waits for.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Memory in bytes that bodies of requests may take in one daemon.
+pub const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 /// Segment size in bytes of a connection with small buffers.
 const SMALL_SEGMENT_BYTES: u32 = 536;
 /// Receive buffer of a slow caller in bytes.
@@ -415,6 +417,7 @@
         max_proof_age: Duration::from_secs(2),
         grace_period: Duration::from_secs(6),
         rate_tolerance: QuotaTolerance { window: Duration::from_secs(5), overage: 0.1, slack_tokens: 1.0 },
+        body_memory: BODY_MEMORY_BYTES,
     };
     let hasher = KeyHasher::new(b"test");
     let incarnation = identity.incarnation;
