--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -3,9 +3,10 @@
 //! hyper reads the next request of a connection only after it has answered the previous one. Answers must
 //! keep that order, but running a request needn't wait: one behind an unanswered request is started at once
 //! if it may run more than once and has no body. If the answer in front breaks off while it is streamed, the
-//! connection ends and those behind are lost, so none is started behind a route with such answers. What hyper reads stays authoritative. The answer to a
-//! request that was started early is used only if hyper then reads the same request, and is dropped
-//! otherwise.
+//! connection ends and those behind are lost, so none is started behind a route with such answers.
+//!
+//! What hyper reads stays authoritative. The answer to a request that was started early is used only if hyper
+//! then reads the same request, and is dropped otherwise.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -108,9 +109,7 @@
         // A stopping daemon closes its connections, but would first have to answer every request that it has
         // started.
         let is_closing = self.is_last.get() || self.node.is_stopping();
-        let is_behind_stream =
-            self.current_may_stream.get() || self.queue.borrow().iter().any(|queued| queued.may_stream);
-        let may_start = must_wait && has_room && length == Some(0) && !is_closing && !is_behind_stream;
+        let may_start = must_wait && has_room && length == Some(0) && !is_closing && !self.is_behind_stream();
         let has_streamed = !self.node.streamed_routes.borrow().is_empty();
         let parts = (may_start || has_streamed).then(|| parse_head(head)).flatten();
         let may_stream = has_streamed && parts.as_ref().is_none_or(|parts| self.may_stream(parts));
@@ -119,6 +118,11 @@
         self.queue.borrow_mut().push_back(QueuedRequest { state, may_stream });
     }
 
+    /// Whether an answer in front of the next request may be streamed.
+    fn is_behind_stream(&self) -> bool {
+        self.current_may_stream.get() || self.queue.borrow().iter().any(|queued| queued.may_stream)
+    }
+
     /// Whether a request behind the current one has been started early, so that the connection must stay open
     /// for its answer.
     pub fn has_started(&self) -> bool {
--- a/crates/relay/tests/departures.rs
+++ b/crates/relay/tests/departures.rs
@@ -35,6 +35,14 @@
     fleet
 }
 
+/// The store goes down, the first daemon's server leaves, and that daemon is killed and started again.
+async fn leave_and_restart_in_outage(fleet: &mut Fleet) -> Daemon {
+    fleet.rows.is_down.store(true, SeqCst);
+    fleet.daemons[0].acknowledge_departure().await;
+    let old = fleet.daemons.remove(0);
+    fleet.kill_and_restart(old).await
+}
+
 // Guards against requests for a server that has left, after a planned stop of its daemon (review, case 1).
 #[test]
 fn a_departure_outlives_a_planned_stop_of_its_daemon() {
@@ -67,10 +75,7 @@
 fn a_departure_that_was_never_stored_is_known_from_another_daemon() {
     on_one_thread(async {
         let mut fleet = fleet_with_one_server(2).await;
-        fleet.rows.is_down.store(true, SeqCst);
-        fleet.daemons[0].acknowledge_departure().await;
-        let old = fleet.daemons.remove(0);
-        let new = fleet.kill_and_restart(old).await;
+        let new = leave_and_restart_in_outage(&mut fleet).await;
         assert_late_heartbeat_brings_no_work(&new).await;
     });
 }
@@ -80,10 +85,7 @@
 fn a_departure_that_another_daemon_remembered_is_stored_by_the_next_process() {
     on_one_thread(async {
         let mut fleet = fleet_with_one_server(2).await;
-        fleet.rows.is_down.store(true, SeqCst);
-        fleet.daemons[0].acknowledge_departure().await;
-        let old = fleet.daemons.remove(0);
-        let new = fleet.kill_and_restart(old).await;
+        let new = leave_and_restart_in_outage(&mut fleet).await;
         eventually(|| !new.node.local_server.departures().is_empty()).await;
         fleet.rows.is_down.store(false, SeqCst);
         eventually(|| fleet.rows.contain(STORED)).await;
