Log what a daemon hears of configurations, and each failed query of the store

Cause: a daemon that was late with a configuration logged nothing between its first StoreDown and ConfigApplied, so a call that hangs, a pause after it, and a version that nobody had told it of could not be told apart. Change: ConfigHeard (E0407) with version and daemon, source and delay in ConfigApplied, each failed query with its time and the time until the next one (E0305), the version that admitted a request in RequestAnswered, a histogram of the delay and a counter of queries. No change of logic.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -40,12 +40,14 @@
     302 StoreDown "The store does not answer.";
     303 StoreAmbiguous "The answer of a write was lost; its effect is being resolved.";
     304 RowRefused "A row of the store describes nothing that can be used.";
+    305 StoreStillDown "A further query of the store has failed.";
     401 ConfigApplied "A new configuration version is in force in this daemon.";
     402 ConfigRefused "A configuration was refused by validation.";
     403 ConfigConflict "Two operators changed the configuration at the same time.";
     404 ConfigCommitted "A configuration change was committed.";
     405 KeyWithdrawn "A key was withdrawn.";
     406 KeyWithdrawalStored "A withdrawal taken while the store was down is now stored.";
+    407 ConfigHeard "Another daemon has a newer configuration version.";
     501 SharesChanged "The holders of rate shares changed.";
     502 SharesUnsettled "A change of holders waits for acknowledgements.";
     503 SharesStopped "The daemon may not spend its shares until it has confirmed them.";
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -182,11 +182,11 @@
         let AttemptInfo { to, report_ms, .. } = info;
         let (status, took_ms) = (rep.status().as_u16(), info.sent_at.elapsed().as_millis());
         let customer = self.admitted.customer.as_deref().unwrap_or("-");
-        let (id, route) = (self.id, &self.admitted.route.name);
+        let (id, route, version) = (self.id, &self.admitted.route.name, self.admitted.version);
         event!(
             Info,
             RequestAnswered,
-            "id={id} route={route} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
+            "id={id} route={route} version={version} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
         );
     }
 
--- a/crates/relay/src/config_refresh.rs
+++ b/crates/relay/src/config_refresh.rs
@@ -113,14 +113,16 @@
 async fn watch_store(node: &Node, source: &mut impl ConfigSource, store: &mut StoreState) {
     let has_conf = node.conf().is_some();
     let wait = if has_conf { MAX_WATCH_WAIT } else { Duration::ZERO };
+    let asked = Instant::now();
     match source.watch(node.conf_version(), wait).await {
         Ok(reply) => {
             if !store.is_up {
                 event!(Info, StoreUp, "version={}", node.conf_version());
             }
+            node.metrics.config_queries.with_label_values(&["answered"]).inc();
             *store = StoreState { backoff: MIN_BACKOFF, is_up: true };
             match reply.fetched {
-                Some(fetched) => node.adopt_config(fetched, reply.proven_at),
+                Some(fetched) => node.adopt_config(fetched, reply.proven_at, &"store"),
                 None if has_conf => {
                     node.confirm_config(node.conf_version(), reply.proven_at);
                     // The other daemons of the data centre rely on this proof.
@@ -131,13 +133,18 @@
             }
         }
         Err(e) => {
+            let is_reader = node.peers.borrow().rank_in_centre(Instant::now()) < FREQUENT_READERS;
+            let max_backoff = if is_reader { MAX_BACKOFF } else { MAX_BACKOFF_OF_OTHERS };
+            let pause = store.backoff.min(max_backoff);
+            let (after_ms, retry_ms) = (asked.elapsed().as_millis(), pause.as_millis());
             if store.is_up {
-                event!(Warn, StoreDown, "error={e}");
+                event!(Warn, StoreDown, "error={e} after_ms={after_ms} retry_ms={retry_ms}");
+            } else {
+                event!(Info, StoreStillDown, "error={e} after_ms={after_ms} retry_ms={retry_ms}");
             }
+            node.metrics.config_queries.with_label_values(&["failed"]).inc();
             store.is_up = false;
-            let is_reader = node.peers.borrow().rank_in_centre(Instant::now()) < FREQUENT_READERS;
-            let max_backoff = if is_reader { MAX_BACKOFF } else { MAX_BACKOFF_OF_OTHERS };
-            sleep(store.backoff.min(max_backoff)).await;
+            sleep(pause).await;
             store.backoff = (store.backoff * 2).min(max_backoff);
         }
     }
@@ -154,7 +161,7 @@
     };
     match source.decode(raw) {
         Ok(fetched) => {
-            node.adopt_config(fetched, asked_at.before(proof_age));
+            node.adopt_config(fetched, asked_at.before(proof_age), &peer);
             true
         }
         Err(e) => {
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -206,7 +206,7 @@
         return;
     }
     node.update_rate_shares();
-    if digest.version > node.conf_version() {
+    if node.hear_of_config(digest.version, &origin) {
         node.refresh_wanted.notify_one();
     }
     if from != origin {
@@ -232,7 +232,7 @@
     match outcome {
         StatusOutcome::Applied => {
             node.update_rate_shares();
-            apply_config_status(node, status);
+            apply_config_status(node, &from, status);
         }
         StatusOutcome::UnknownProcess => {
             gossip.send_datagram(from, &Datagram::Hello(node.hello(&from, true, false)));
@@ -261,7 +261,7 @@
         let departures = node.departures.recall(&from);
         gossip.send_datagram(from, &Datagram::Departures { of: from, departures });
     }
-    apply_config_status(node, &status);
+    apply_config_status(node, &from, &status);
 }
 
 fn handle_peer_info(node: &Rc<Node>, peer_info: &PeerInfo, now: Instant) {
@@ -324,8 +324,8 @@
 
 /// Compares another daemon's configuration with the one in force: fetches a newer one, and otherwise uses the
 /// proof.
-fn apply_config_status(node: &Node, status: &Status) {
-    if status.version > node.conf_version() {
+fn apply_config_status(node: &Node, from: &DaemonId, status: &Status) {
+    if node.hear_of_config(status.version, from) {
         node.refresh_wanted.notify_one();
     } else {
         confirm_from_status(node, status);
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::{CustomerId, Executed, Refusal, event};
+use base::{CustomerId, Executed, Refusal, Version, event};
 use bytes::Bytes;
 use conf::{Route, Snapshot};
 use hyper::body::Body as HttpBody;
@@ -59,6 +59,8 @@
 /// An admitted request.
 #[derive(Debug)]
 pub(crate) struct Admitted {
+    /// Version of the configuration whose route this is.
+    pub(crate) version: Version,
     pub(crate) route: Arc<Route>,
     /// Hash of the route's name, by which run times are averaged.
     pub(crate) route_hash: u32,
@@ -216,6 +218,7 @@
     let objective_at = now + route.objective;
     sanitize_head(node, &mut head)?;
     Ok(Admitted {
+        version: conf.version,
         route,
         route_hash,
         service,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod body_memory;
 pub mod clock;
 mod closing;
+pub mod config_news;
 pub mod config_refresh;
 pub mod daemon;
 pub mod datagram;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,6 +33,11 @@
     pub cancelled: IntCounter,
     /// Time from receiving a request to the head of its answer.
     pub request_seconds: Histogram,
+    /// Time from the first word of a newer configuration until it is in force, in seconds; 0 for one that came
+    /// without such a word, from the store.
+    pub config_delay_seconds: Histogram,
+    /// Queries of the store for a newer configuration, by outcome.
+    pub config_queries: IntCounterVec,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -75,6 +80,15 @@
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
             answers_cut: by_reason("pomelo_answers_cut_total", "Answers that were not sent whole."),
             cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
+            config_delay_seconds: histogram(
+                "pomelo_config_delay_seconds",
+                "Time from word of a newer configuration until it is in force.",
+            ),
+            config_queries: by_label(
+                "pomelo_config_queries_total",
+                "Queries of the store for a newer configuration.",
+                "outcome",
+            ),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::fmt::Display;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,6 +20,7 @@
 use crate::attempts::ResponseSizes;
 use crate::body_memory::BodyMemory;
 use crate::clock::BootTime;
+use crate::config_news::ConfigNews;
 use crate::config_refresh::FetchedConfig;
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
 use crate::departures::DepartureLog;
@@ -106,6 +108,8 @@
     /// The configuration in force as encoded by its source, to be passed on to other daemons.
     pub(crate) raw_conf: RefCell<Bytes>,
     pub(crate) freshness: RefCell<Freshness>,
+    /// What other daemons have told of newer configurations.
+    pub(crate) config_news: Cell<ConfigNews>,
     /// Memory for bodies of requests.
     pub(crate) body_memory: Rc<BodyMemory>,
     /// Token buckets that hold this daemon's share of each customer's rate.
@@ -158,6 +162,7 @@
             admission_changed: Notify::new(),
             raw_conf: RefCell::default(),
             freshness: RefCell::default(),
+            config_news: Cell::default(),
             body_memory: BodyMemory::new(bounds.body_memory),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
@@ -207,15 +212,37 @@
         self.snapshot.borrow().as_ref().map_or(0, |s| s.version)
     }
 
+    /// Records that the daemon at `from` has the configuration `version`; true if that is newer than the one in
+    /// force.
+    pub(crate) fn hear_of_config(&self, version: Version, from: &DaemonId) -> bool {
+        let in_force = self.conf_version();
+        let mut news = self.config_news.get();
+        if news.hear(version, in_force, Instant::now()) {
+            event!(Info, ConfigHeard, "version={version} from={from} in_force={in_force}");
+        }
+        self.config_news.set(news);
+        version > in_force
+    }
+
     /// Puts a configuration in force unless the present one is as new. `proven_at` is a time at which the
-    /// fetched one was the newest.
-    pub fn adopt_config(&self, fetched: FetchedConfig, proven_at: BootTime) {
+    /// fetched one was the newest; `source` names where it came from.
+    pub fn adopt_config(&self, fetched: FetchedConfig, proven_at: BootTime, source: &dyn Display) {
         let FetchedConfig { snapshot, raw } = fetched;
         let version = snapshot.version;
         let is_newer = self.snapshot.borrow().as_ref().is_none_or(|old| old.version < version);
         if is_newer {
             self.token_buckets.borrow_mut().set_rates(&snapshot, Instant::now());
-            event!(Info, ConfigApplied, "version={version} routes={}", snapshot.routes().count());
+            let mut news = self.config_news.get();
+            let delay = news.apply(version, Instant::now());
+            self.config_news.set(news);
+            self.metrics.config_delay_seconds.observe(delay.unwrap_or_default().as_secs_f64());
+            let (heard_ms, routes) = (delay.map_or(-1, |d| d.as_millis() as i64), snapshot.routes().count());
+            let proof_ms = BootTime::now().since(proven_at).as_millis();
+            event!(
+                Info,
+                ConfigApplied,
+                "version={version} routes={routes} source={source} heard_ms={heard_ms} proof_ms={proof_ms}"
+            );
             for customer in snapshot.customers.values() {
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
