--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod endless;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::SeqCst;
@@ -26,6 +27,7 @@
 use relay::clock::BootTime;
 use relay::config_refresh::{ConfigSource, FetchedConfig, WatchReply};
 use relay::daemon::{Sockets, run_daemon};
+use relay::datagram::{Datagram, Hello, PeerInfo, Status};
 use relay::header_names::HeaderNames;
 use relay::local_server::LocalServer;
 use relay::metrics::Metrics;
@@ -45,6 +47,8 @@
 pub const SERVICE: &str = "sacristia";
 /// Timeout for anything that a test waits for.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which a query of the source fails that gets no answer.
+pub const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Memory in bytes that bodies of requests may take in one daemon.
 pub const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 /// Segment size in bytes of a connection with small buffers.
@@ -299,6 +303,10 @@
     pub is_up: Cell<bool>,
     /// Incarnation of a daemon that the source doesn't answer.
     pub partitioned: Cell<Option<u64>>,
+    /// Incarnations of daemons that the source turns away at once.
+    pub turned_away: RefCell<HashSet<u64>>,
+    /// Incarnations of daemons whose queries end without an answer, after [`QUERY_TIMEOUT`].
+    pub unanswered: RefCell<HashSet<u64>>,
 }
 
 struct SourceClient {
@@ -312,6 +320,13 @@
     async fn watch(&mut self, known: Version, _wait: Duration) -> Result<WatchReply, StoreError> {
         let asked_at = BootTime::now();
         sleep(Duration::from_millis(20)).await;
+        if self.source.unanswered.borrow().contains(&self.incarnation) {
+            sleep(QUERY_TIMEOUT).await;
+            return Err(StoreError::Ambiguous);
+        }
+        if self.source.turned_away.borrow().contains(&self.incarnation) {
+            return Err(StoreError::Down);
+        }
         if !self.source.is_up.get() || self.source.partitioned.get() == Some(self.incarnation) {
             return Err(StoreError::Down);
         }
@@ -374,20 +389,42 @@
     backends: Vec<Rc<Backend>>,
     make_snapshot: fn(&KeyHasher) -> Snapshot,
     rows: Rows,
+) -> Fleet {
+    let places = vec![Place::new("meseta", "barva"); backends.len()];
+    start_fleet(backends, &places, make_snapshot, rows).await
+}
+
+/// Starts a fleet as [`fleet`] does, with one daemon in each of `places`, each a region and a data centre.
+pub async fn fleet_in(places: &[(&str, &str)], make_snapshot: fn(&KeyHasher) -> Snapshot) -> Fleet {
+    let mut backends = Vec::new();
+    for _ in places {
+        backends.push(Backend::start(&[Act::Answer]).await);
+    }
+    let places: Vec<Place> = places.iter().map(|(region, centre)| Place::new(region, centre)).collect();
+    start_fleet(backends, &places, make_snapshot, Rows::default()).await
+}
+
+async fn start_fleet(
+    backends: Vec<Rc<Backend>>,
+    places: &[Place],
+    make_snapshot: fn(&KeyHasher) -> Snapshot,
+    rows: Rows,
 ) -> Fleet {
     let source = Rc::new(Source {
         make_snapshot: Cell::new(make_snapshot),
         is_up: Cell::new(true),
         partitioned: Cell::new(None),
+        turned_away: RefCell::default(),
+        unanswered: RefCell::default(),
     });
     let rows = Rc::new(rows);
     let mut daemons = Vec::new();
-    for (n, backend) in backends.into_iter().enumerate() {
+    for (n, (backend, place)) in backends.into_iter().zip(places).enumerate() {
         let sockets = bind_sockets().await;
         let identity = Identity {
             addr: sockets.0.local_addr().expect("a bound address"),
             incarnation: n as u64 + 1,
-            place: Place::new("meseta", "barva"),
+            place: place.clone(),
             service: SERVICE.into(),
             is_first_start: false,
         };
@@ -453,6 +490,19 @@
     }
 }
 
+/// Introduces a daemon to `daemon` that claims to have the configuration `version` and never answers. It is there
+/// until its sockets are dropped.
+pub async fn announce_silent_neighbour(daemon: &Daemon, version: Version) -> (TcpListener, UdpSocket) {
+    let (handoffs, datagrams) = bind_sockets().await;
+    let addr = handoffs.local_addr().expect("a bound address");
+    let info = PeerInfo { addr, incarnation: 99, ..daemon.node.peer_info() };
+    let status = Status { incarnation: 99, version, ..daemon.node.status(&addr) };
+    let hello = Hello { peer_info: info, status, wants_answer: false, forward: false };
+    let bytes = postcard::to_stdvec(&Datagram::Hello(hello)).expect("a datagram");
+    datagrams.send_to(&bytes, daemon.node.identity.addr).await.expect("the daemon listens");
+    (handoffs, datagrams)
+}
+
 impl Daemon {
     /// Applies a heartbeat of the server.
     pub fn register(&self, sequence: u64, draining: bool) {
