Take configurations from neighbours whatever the store does

Cause: one loop both asked the store and fetched from neighbours. While it was in a query, or in the pause after a failed one, it took nothing from neighbours that had told it of a newer version. Besides, it fetched from daemons of its own region only, although digests of other regions name their versions; and a neighbour that didn't answer held up the next one for 1.5 s. Change: two tasks. config_exchange takes newer configurations from other daemons, near ones first, from another data centre by the lowest rank alone at first, and asks one more daemon each 250 ms without an answer. store_watch asks the store; its pause after a failure is a deadline that a query which becomes due for another reason waits for, and holds up nothing else. Pauses vary, so that daemons which lost the store together don't look for it together. What is in force is decided by Node::adopt_config alone.

--- a/crates/relay/src/config_news.rs
+++ b/crates/relay/src/config_news.rs
@@ -35,6 +35,12 @@
         delay
     }
 
+    /// Records that a query sent at `asked_at` found no newer version in the store than the one in force, whatever
+    /// other daemons had said by then.
+    pub fn settle(&mut self, asked_at: Instant) {
+        self.behind_since = self.behind_since.filter(|since| *since > asked_at);
+    }
+
     /// When this daemon first heard of a version that is newer than the one in force; `None` if it has not.
     pub fn behind_since(&self) -> Option<Instant> {
         self.behind_since
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -206,9 +206,7 @@
         return;
     }
     node.update_rate_shares();
-    if node.hear_of_config(digest.version, &origin) {
-        node.refresh_wanted.notify_one();
-    }
+    node.hear_of_config(digest.version, &origin);
     if from != origin {
         return;
     }
@@ -325,9 +323,7 @@
 /// Compares another daemon's configuration with the one in force: fetches a newer one, and otherwise uses the
 /// proof.
 fn apply_config_status(node: &Node, from: &DaemonId, status: &Status) {
-    if node.hear_of_config(status.version, from) {
-        node.refresh_wanted.notify_one();
-    } else {
+    if !node.hear_of_config(status.version, from) {
         confirm_from_status(node, status);
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,7 +9,7 @@
 //! their servers ([`departures`]). Those of one data centre exchange their
 //! status over UDP ([`gossip`], [`peers`]), and data centres exchange digests of it ([`digest`]).
 //! [`config_refresh`] and [`freshness`] keep the configuration current and track how recently it was proven to
-//! be the newest one. All state of a daemon is a [`node::Node`], which lives on a single thread.
+//! be the newest one; [`config_news`] is what other daemons tell of it. All state of a daemon is a [`node::Node`], which lives on a single thread.
 //!
 //! ```
 //! use relay::registration::{Heartbeat, HeartbeatOutcome, Registration};
@@ -35,6 +35,7 @@
 pub mod body_memory;
 pub mod clock;
 mod closing;
+mod config_exchange;
 pub mod config_news;
 pub mod config_refresh;
 pub mod daemon;
@@ -65,3 +66,4 @@
 mod shared_stream;
 pub mod slot;
 pub mod socket;
+mod store_watch;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -98,9 +98,11 @@
     /// Notified when the daemons of this data centre should get the status without waiting for the next
     /// interval.
     pub status_changed: Notify,
-    /// Notified when [`config_refresh`](crate::config_refresh) should choose again whom to ask: another
-    /// daemon has a newer configuration, the directory was read, or a request found the proof too old.
+    /// Notified when [`store_watch`](crate::store_watch) should look again whether a query is due: the directory
+    /// was read, another daemon has a newer configuration, or a request found the proof too old.
     pub refresh_wanted: Notify,
+    /// Notified when another daemon says that it has a newer configuration.
+    pub(crate) newer_config_heard: Notify,
     /// Cancelled shortly before the process ends, to end requests that are still running.
     pub abort_requests: CancellationToken,
     /// Notified when tokens arrive or the proof is renewed, for requests that wait to be admitted.
@@ -158,6 +160,7 @@
             snapshot: watch::Sender::new(None),
             status_changed: Notify::new(),
             refresh_wanted: Notify::new(),
+            newer_config_heard: Notify::new(),
             abort_requests: CancellationToken::new(),
             admission_changed: Notify::new(),
             raw_conf: RefCell::default(),
@@ -221,7 +224,19 @@
             event!(Info, ConfigHeard, "version={version} from={from} in_force={in_force}");
         }
         self.config_news.set(news);
-        version > in_force
+        let is_newer = version > in_force;
+        if is_newer {
+            self.newer_config_heard.notify_one();
+            self.refresh_wanted.notify_one();
+        }
+        is_newer
+    }
+
+    /// Records that a query sent at `asked_at` found no newer configuration in the store than the one in force.
+    pub(crate) fn settle_config_news(&self, asked_at: Instant) {
+        let mut news = self.config_news.get();
+        news.settle(asked_at);
+        self.config_news.set(news);
     }
 
     /// Puts a configuration in force unless the present one is as new. `proven_at` is a time at which the
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -198,12 +198,18 @@
         STATUS_INTERVAL.mul_f64(self.interval_factor())
     }
 
-    /// Whether this daemon may already fetch a configuration newer than `known`. In a large data centre
-    /// daemons fetch in the order of their rank, since the few that have the new one first could not serve
-    /// all other daemons at once.
-    pub fn may_fetch_config(&self, known: Version, now: Instant) -> bool {
+    /// Whether this daemon may already fetch a configuration newer than `known` from a daemon at `distance`.
+    ///
+    /// From another data centre only the daemon of lowest rank does, so that the configuration travels there
+    /// once. In a large data centre daemons fetch in the order of their rank, since the few that have the new one
+    /// first could not serve all other daemons at once.
+    pub fn may_fetch_config(&self, known: Version, distance: Distance, now: Instant) -> bool {
+        let rank = self.rank_in_centre(now);
+        if distance > Distance::SameDataCentre {
+            return rank == 0;
+        }
         let holders = self.peers_in_centre().filter(|p| p.version > known).count();
-        self.rank_in_centre(now) < holders.max(1) * FETCH_FANOUT
+        rank < holders.max(1) * FETCH_FANOUT
     }
 
     /// `sent_at` of a daemon's latest status, on that daemon's clock.
@@ -236,14 +242,18 @@
         self.by_addr.values()
     }
 
-    /// A random daemon of the region with a newer configuration, in this data centre if possible.
-    pub fn peer_with_newer_config(&self, known: Version, rng: &mut impl Rng) -> Option<DaemonId> {
-        let newer = |p: &&Peer| p.version > known;
-        let near = self.peers_in_centre().filter(newer).choose(rng);
-        let far = || {
-            self.by_addr.values().filter(|p| p.place.region == self.place.region).filter(newer).choose(rng)
-        };
-        near.or_else(far).map(|p| p.addr)
+    /// A random one of the nearest daemons that have a configuration newer than `known` and are not in `asked`, and
+    /// its distance.
+    pub fn peer_with_newer_config(
+        &self,
+        known: Version,
+        asked: &[DaemonId],
+        rng: &mut impl Rng,
+    ) -> Option<(DaemonId, Distance)> {
+        let holders = || self.by_addr.values().filter(|p| p.version > known && !asked.contains(&p.addr));
+        let nearest = holders().map(|p| self.distance_to(&p.place)).min()?;
+        let peer = holders().filter(|p| self.distance_to(&p.place) == nearest).choose(rng)?;
+        Some((peer.addr, nearest))
     }
 
     /// Forgets the version of a daemon's configuration until the daemon's next status, so that the daemon is
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -25,7 +25,7 @@
 use hyper_util::rt::TokioIo;
 use limit::QuotaTolerance;
 use relay::clock::BootTime;
-use relay::config_refresh::{ConfigSource, FetchedConfig, WatchReply};
+use relay::config_refresh::{ConfigDecoder, ConfigSource, FetchedConfig, WatchReply};
 use relay::daemon::{Sockets, run_daemon};
 use relay::datagram::{Datagram, Hello, PeerInfo, Status};
 use relay::header_names::HeaderNames;
@@ -336,6 +336,17 @@
         Ok(WatchReply { fetched, proven_at: asked_at })
     }
 
+    fn decoder(&self) -> Box<dyn ConfigDecoder> {
+        Box::new(SourceDecoder { source: Rc::clone(&self.source), hasher: self.hasher.clone() })
+    }
+}
+
+struct SourceDecoder {
+    source: Rc<Source>,
+    hasher: KeyHasher,
+}
+
+impl ConfigDecoder for SourceDecoder {
     fn decode(&self, raw: Bytes) -> Result<FetchedConfig, StoreError> {
         let snapshot = (self.source.make_snapshot.get())(&self.hasher);
         Ok(FetchedConfig { snapshot, raw })
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -8,7 +8,7 @@
 use relay::datagram::{PeerInfo, RemovedPeer, Status};
 use relay::handoff::ServerReport;
 use relay::peers::{Peers, StatusOutcome};
-use route::placement::{Candidate, ServerCondition};
+use route::placement::{Candidate, Distance, ServerCondition};
 
 fn addr(n: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7780))
@@ -189,14 +189,14 @@
 #[test]
 fn the_last_daemon_of_a_large_data_centre_waits_until_enough_daemons_have_a_configuration() {
     let now = Instant::now();
-    assert!(!large_centre(1, now).may_fetch_config(1, now));
-    assert!(large_centre(5, now).may_fetch_config(1, now));
+    assert!(!large_centre(1, now).may_fetch_config(1, Distance::SameDataCentre, now));
+    assert!(large_centre(5, now).may_fetch_config(1, Distance::SameDataCentre, now));
 }
 
 #[test]
 fn every_daemon_of_a_small_data_centre_may_fetch_at_once() {
     let now = Instant::now();
-    assert!(peers(now).may_fetch_config(0, now));
+    assert!(peers(now).may_fetch_config(0, Distance::SameDataCentre, now));
 }
 
 /// Status of a daemon whose server is suspected to fail.
