Refuse nothing as unknown by a proof older than changes may take

Cause: 404 and 401 for what the configuration doesn't have were given by a proof of up to 3.8 s, the bound of withdrawn keys, although a new route or key must be there after 2.5 s (CONFIG). Change: Bounds::max_denial_age, from configApplyMs. With an older proof such a request is refused as not run, to be tried again; known routes and keys are served as before. Result: two tests that got 404 and 401 get 503; a third one shows that what is known is served.

--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -267,7 +267,7 @@
     if let Some(route) = matching_route(&conf) {
         return Ok((conf, route));
     }
-    if !node.is_conf_fresh() {
+    if !node.may_deny_unknown() {
         return Err(RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER));
     }
     Err(Refusal::NoRoute.into())
@@ -294,7 +294,11 @@
     let hash = node.hasher.hash(api_key.as_bytes());
     let latest = node.conf();
     let conf = latest.as_deref().unwrap_or(conf);
-    let key = conf.keys.get(&hash).ok_or(Refusal::KeyInvalid)?;
+    let Some(key) = conf.keys.get(&hash) else {
+        // It may be new.
+        let unconfirmed = || RequestRefusal::after(Refusal::KeyUnconfirmed, MIN_RETRY_AFTER);
+        return Err(if node.may_deny_unknown() { Refusal::KeyInvalid.into() } else { unconfirmed() });
+    };
     if route.customer.as_ref().is_some_and(|owner| *owner != key.customer) {
         return Err(Refusal::KeyForbidden.into());
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -63,6 +63,9 @@
     /// Age of the proof that the configuration is the newest one, up to which API keys are accepted or
     /// rejected by that configuration.
     pub max_proof_age: Duration,
+    /// Age of the proof up to which a request may be refused because the configuration has no such route or key;
+    /// less than the time in which a new one must be in force.
+    pub max_denial_age: Duration,
     /// Time from the stop signal until the daemon must have ended.
     pub grace_period: Duration,
     /// How far a customer may exceed its rate because daemons divide the rate without asking each other per
@@ -281,6 +284,11 @@
         self.freshness.borrow().is_fresh(BootTime::now(), self.bounds.max_proof_age)
     }
 
+    /// Whether the proof is recent enough to say that a route or key doesn't exist.
+    pub fn may_deny_unknown(&self) -> bool {
+        self.freshness.borrow().is_fresh(BootTime::now(), self.bounds.max_denial_age)
+    }
+
     /// Time since the configuration in force was last known to be the newest; `None` before the first proof.
     pub fn proof_age(&self) -> Option<Duration> {
         self.freshness.borrow().age(BootTime::now())
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -463,6 +463,7 @@
     let local_server = Rc::new(LocalServer::new(Rc::clone(&names), backend.addr, Instant::now()));
     let bounds = Bounds {
         max_proof_age: Duration::from_secs(2),
+        max_denial_age: Duration::from_secs(1),
         grace_period: Duration::from_secs(6),
         rate_tolerance: QuotaTolerance { window: Duration::from_secs(5), overage: 0.1, slack_tokens: 1.0 },
         body_memory: BODY_MEMORY_BYTES,
--- a/crates/relay/tests/late_configurations.rs
+++ b/crates/relay/tests/late_configurations.rs
@@ -8,7 +8,7 @@
 use base::Version;
 use common::{
     Act, Daemon, Fleet, KEY, announce_silent_neighbour, conf, eventually, fleet, fleet_in, on_one_thread,
-    snapshot,
+    request, snapshot, status,
 };
 use conf::{KeyHasher, Snapshot};
 use tokio::time::sleep;
@@ -107,3 +107,40 @@
         assert!(delay < EXCHANGE_TIME, "{delay:?}");
     });
 }
+
+/// Starts a daemon whose proof is too old to say what doesn't exist, but recent enough to accept keys.
+async fn daemon_with_an_old_proof() -> Fleet {
+    let fleet = fleet(&[&[Act::Answer]], conf).await;
+    let node = &fleet.daemons[0].node;
+    fleet.source.is_up.set(false);
+    eventually(|| node.proof_age().is_some_and(|age| age > node.bounds.max_denial_age)).await;
+    fleet
+}
+
+#[test]
+fn a_route_that_may_be_new_is_not_refused_as_unknown() {
+    on_one_thread(async {
+        let fleet = daemon_with_an_old_proof().await;
+        let rep = fleet.daemons[0].get("/added/1", "r1").await;
+        assert_eq!(status(&rep), 503, "{rep}");
+    });
+}
+
+#[test]
+fn a_key_that_may_be_new_is_not_refused_as_unknown() {
+    on_one_thread(async {
+        let fleet = daemon_with_an_old_proof().await;
+        let with_new_key = request("GET", "/stock/1", "r1", "").replace(KEY, "added-2026");
+        let rep = fleet.daemons[0].send_raw(&with_new_key, "\r\n\r\n").await;
+        assert_eq!(status(&rep), 503, "{rep}");
+    });
+}
+
+#[test]
+fn known_routes_and_keys_are_served_by_a_proof_too_old_to_refuse_unknown_ones() {
+    on_one_thread(async {
+        let fleet = daemon_with_an_old_proof().await;
+        let rep = fleet.daemons[0].get("/stock/1", "r1").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+    });
+}
