Charge calls of repeated runs to the called service's retry budget

Cause: a repeat is paid from the budget of its own service. Change: a hand-off says whether it is a repeat. The daemon beside the server charges each call to the called service's budget by the share of its running requests that are repeats; the budget may fall below zero by two retries. Daemons of an older version don't send the new field; it then counts as false. The new tests don't compile before the change.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -101,7 +101,9 @@
     /// Makes attempts until one is answered or no further one is possible.
     pub(crate) async fn run(mut self) -> RequestResult {
         // Requests on open routes come from running requests, which have been credited themselves.
-        if !self.admitted.route.open {
+        if self.admitted.route.open {
+            self.node.charge_repeated_call(&self.admitted.service);
+        } else {
             self.node.credit_retry_budget(&self.admitted.service);
         }
         let mut in_flight = InFlight::default();
@@ -365,6 +367,7 @@
             nested: self.admitted.route.open,
             repetition: if self.repeatable { Repetition::Allowed } else { Repetition::Never },
             allow_suspect: self.allow_suspect,
+            is_repeat: self.servers_reached > 0 || self.hedged.is_some(),
             objective: self.admitted.route.objective,
             objective_left: self.admitted.objective_at.saturating_duration_since(now),
             deadline_left: self.node.answer_deadline(self.admitted.deadline).saturating_duration_since(now),
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -50,9 +50,11 @@
     pub objective_left: Duration,
     /// Time left until the deadline.
     pub deadline_left: Duration,
-    /// Latency objective of the route. New fields must be added after this one: daemons of an older version
-    /// ignore trailing bytes.
+    /// Latency objective of the route.
     pub objective: Duration,
+    /// Whether another server may have run the request before. Daemons of an older version don't send it. New
+    /// fields must be added after this one: daemons of an older version ignore trailing bytes.
+    pub is_repeat: bool,
 }
 
 /// Whether a request may run more than once.
@@ -184,6 +186,8 @@
     let value = headers.remove(name)?;
     let digit = |byte: u8| char::from(byte).to_digit(16);
     let decode_pair = |pair: &[u8]| Some((digit(pair[0])? << 4 | digit(*pair.get(1)?)?) as u8);
-    let bytes: Option<Vec<u8>> = value.as_bytes().chunks(2).map(decode_pair).collect();
-    postcard::from_bytes(&bytes?).ok()
+    let mut bytes = value.as_bytes().chunks(2).map(decode_pair).collect::<Option<Vec<u8>>>()?;
+    // Stands for a last field that daemons of an older version don't send.
+    bytes.push(0);
+    postcard::from_bytes(&bytes).ok()
 }
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -104,6 +104,8 @@
     report_changed: Notify,
     /// When a call last failed that the server may have made for one of its running requests.
     call_failed_at: Cell<Option<Instant>>,
+    /// Number of running requests that another server may have run before.
+    running_repeats: Cell<u32>,
     is_stopping: Cell<bool>,
     /// Whether this process knows the departures that earlier ones acknowledged; no request runs before.
     knows_departures: Cell<bool>,
@@ -132,6 +134,7 @@
             state: RefCell::new(state),
             report_changed: Notify::new(),
             call_failed_at: Cell::new(None),
+            running_repeats: Cell::new(0),
             is_stopping: Cell::new(false),
             knows_departures: Cell::new(true),
             ends_at: Cell::new(None),
@@ -293,6 +296,7 @@
         };
         let sent_at = Instant::now();
         let expected_run = self.state.borrow().run_times.expected_run(handoff.route_hash, handoff.objective);
+        let _counted = handoff.is_repeat.then(|| RunningRepeat::start(&self.running_repeats));
         let exchange = ServerExchange { handoff, run, conn, sent_at, expected_run, deadline };
         exchange.run(req).await
     }
@@ -416,6 +420,12 @@
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
 
+    /// Share of the running requests that another server may have run before, 0 to 1.
+    pub(crate) fn repeat_share(&self) -> f64 {
+        let running = self.state.borrow().queue.running().max(1);
+        (f64::from(self.running_repeats.get()) / running as f64).min(1.0)
+    }
+
     /// Records that a call of this instance on an open route has failed, which the server may have made.
     pub(crate) fn record_failed_call(&self, now: Instant) {
         self.call_failed_at.set(Some(now));
@@ -457,6 +467,22 @@
     }
 }
 
+/// Counts a repeat as running until dropped.
+struct RunningRepeat<'a>(&'a Cell<u32>);
+
+impl<'a> RunningRepeat<'a> {
+    fn start(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for RunningRepeat<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A slot for which a request waits.
 #[derive(Debug)]
 struct PendingSlot {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of one daemon in the Prometheus format.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Counter, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the buckets for request times, in seconds.
@@ -27,6 +28,8 @@
     pub datagram_bytes: IntCounterVec,
     /// Retries and hedges, by reason.
     pub retries: IntCounterVec,
+    /// Calls of the local server for runs that were repeats, estimated from the share of such runs.
+    pub repeated_calls: Counter,
     /// Answers that were not sent completely when their connection ended, by what was missing.
     pub answers_cut: IntCounterVec,
     /// Requests whose callers disconnected before the answer.
@@ -65,6 +68,9 @@
             registry.register(Box::new(metric.clone())).expect("the name is registered once");
             metric
         };
+        let repeated_calls = Counter::new("pomelo_repeated_calls_total", "Calls for runs that were repeats.");
+        let repeated_calls = repeated_calls.expect("the name is a valid metric name");
+        registry.register(Box::new(repeated_calls.clone())).expect("the name is registered once");
         let refusal_opts = latency_opts("pomelo_refusal_seconds", "Time from request to refusal.");
         let refusal_seconds = HistogramVec::new(refusal_opts, &["reason"]);
         let refusal_seconds = refusal_seconds.expect("the bucket bounds are in ascending order");
@@ -79,6 +85,7 @@
             declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
             answers_cut: by_reason("pomelo_answers_cut_total", "Answers that were not sent whole."),
+            repeated_calls,
             cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
             config_delay_seconds: histogram(
                 "pomelo_config_delay_seconds",
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -376,6 +376,19 @@
         }
     }
 
+    /// Charges a call of the local server to the called service's retry budget, if the run that makes it is a repeat.
+    /// Which run makes it isn't known, so it is charged by the share of the runs that are repeats.
+    pub(crate) fn charge_repeated_call(&self, service: &str) {
+        let share = self.local_server.repeat_share();
+        if share <= 0.0 {
+            return;
+        }
+        self.metrics.repeated_calls.inc_by(share);
+        let mut budgets = self.retry_budgets.borrow_mut();
+        let budget = budgets.entry(service.into()).or_insert_with(RetryBudget::for_one_daemon);
+        budget.charge_call(share);
+    }
+
     /// Charges one more attempt to the service's retry budget; false if the budget doesn't cover it.
     pub(crate) fn try_spend_retry(&self, service: &str, reason: base::RetryReason) -> bool {
         let mut budgets = self.retry_budgets.borrow_mut();
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -574,6 +574,7 @@
         nested: false,
         repetition: Repetition::Allowed,
         allow_suspect: false,
+        is_repeat: false,
         objective: Duration::from_secs(1),
         objective_left: Duration::ZERO,
         deadline_left: Duration::from_secs(5),
@@ -596,3 +597,49 @@
         assert!(!local_server.report(Instant::now()).condition.is_suspect());
     });
 }
+
+fn repeat() -> Handoff {
+    Handoff { is_repeat: true, ..late_handoff() }
+}
+
+/// Runs a request at the only daemon's server, which makes a call meanwhile, and returns the calls that were charged
+/// as those of repeats.
+async fn repeated_calls_during(handoff: Handoff) -> f64 {
+    let fleet = fleet(&[&[Act::After(300)]], conf_with_callee).await;
+    let node = &fleet.daemons[0].node;
+    let req = hyper::Request::get("/stock/a").header("host", "a").header("x-request-id", "r1");
+    let run = node.local_server.run_request(&handoff, req.body(bytes::Bytes::new()).expect("a request"));
+    let call = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        fleet.daemons[0].get("/callee/a", "call").await
+    };
+    let (run, _call) = tokio::join!(run, call);
+    assert!(run.is_ok(), "{run:?}");
+    node.metrics.repeated_calls.get()
+}
+
+// Guards against calls of repeated runs beyond the called service's retry budget.
+#[test]
+fn a_call_of_a_repeated_run_is_charged_to_the_called_service() {
+    on_one_thread(async {
+        assert!(repeated_calls_during(repeat()).await > 0.99);
+    });
+}
+
+#[test]
+fn a_call_of_a_first_run_is_not_charged() {
+    on_one_thread(async {
+        assert!(repeated_calls_during(late_handoff()).await < 0.01);
+    });
+}
+
+#[test]
+fn a_handoff_of_an_older_version_is_not_a_repeat() {
+    let mut headers = hyper::HeaderMap::new();
+    relay::handoff::insert_header(&mut headers, &relay::handoff::HANDOFF_HEADER, &late_handoff());
+    let value = headers[&relay::handoff::HANDOFF_HEADER].to_str().expect("digits").to_owned();
+    let without_last_byte = &value[..value.len() - 2];
+    headers.insert(&relay::handoff::HANDOFF_HEADER, without_last_byte.parse().expect("a header value"));
+    let decoded: Option<Handoff> = relay::handoff::take_header(&mut headers, &relay::handoff::HANDOFF_HEADER);
+    assert!(decoded.is_some_and(|handoff| !handoff.is_repeat));
+}
--- a/crates/route/tests/retry_budget.rs
+++ b/crates/route/tests/retry_budget.rs
@@ -173,3 +173,37 @@
     }
     assert!(limit.max_in_flight() < 40, "{}", limit.max_in_flight());
 }
+
+#[test]
+fn calls_of_repeats_take_credit_from_retries() {
+    let mut budget = RetryBudget::new(2, 2);
+    budget.charge_call(0.5);
+    budget.charge_call(0.5);
+    assert!(budget.spend(RetryReason::ServerError));
+    assert!(!budget.covers(RetryReason::ServerError));
+}
+
+#[test]
+fn debt_of_calls_is_paid_before_the_next_retry() {
+    let mut budget = RetryBudget::new(0, 2);
+    budget.charge_call(1.0);
+    for _ in 0..10 {
+        budget.earn();
+    }
+    assert!(!budget.covers(RetryReason::ServerError));
+    budget.earn();
+    budget.earn();
+    assert!(budget.covers(RetryReason::ServerError));
+}
+
+#[test]
+fn debt_is_bounded() {
+    let mut budget = RetryBudget::new(0, 2);
+    for _ in 0..100 {
+        budget.charge_call(1.0);
+    }
+    for _ in 0..17 {
+        budget.earn();
+    }
+    assert!(budget.covers(RetryReason::ServerError));
+}
