Write and delete rows of the directory under a condition

Cause: both transactions had no condition. Change: the own row is written in place of the version that was read, and a row is deleted only as it was read, and not if a later process has written it. A removal costs one read more.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error, From};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use store::{Commit, Row, StoreError, Table, Write};
+use store::{Check, Commit, Row, StoreError, Table, Write};
 use tokio::time::sleep;
 
 use crate::datagram::{Incarnation, PeerInfo, RemovedPeer};
@@ -90,13 +90,21 @@
 /// after it has written its row: of two daemons that start together, at least one finds the other.
 pub async fn maintain_directory(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
     // At the first start of a fleet the directory is empty.
-    let is_listed =
-        !node.identity.is_first_start && read_with_retry(&node, &gossip, &*table).await.has_own_row;
-    if !is_listed {
+    let found = if node.identity.is_first_start {
+        DirectoryScan::default()
+    } else {
+        read_with_retry(&node, &gossip, &*table).await
+    };
+    if !found.has_own_row {
         let mut backoff = Backoff::default();
-        while let Err(e) = write_own_row(&node, &*table).await {
+        let mut replaced = found.own_row_version;
+        while let Err(e) = write_own_row(&node, &*table, replaced).await {
             event!(Warn, StoreDown, "purpose=directory error={e}");
-            backoff.wait().await;
+            match e {
+                // A write whose answer was lost has taken effect, or an earlier process has left its row.
+                StoreError::Conflict { present, .. } => replaced = present,
+                _ => backoff.wait().await,
+            }
         }
         sleep(READ_DELAY_AFTER_WRITE).await;
         read_with_retry(&node, &gossip, &*table).await;
@@ -111,7 +119,7 @@
             departures::delete_expired_rows(&node, &*table).await;
         }
         if !found.has_own_row
-            && let Err(e) = write_own_row(&node, &*table).await
+            && let Err(e) = write_own_row(&node, &*table, found.own_row_version).await
         {
             event!(Warn, StoreDown, "purpose=directory error={e}");
         }
@@ -145,14 +153,29 @@
     node.peers.borrow_mut().remove_peer(removed);
     node.update_rate_shares();
     gossip::announce_removal(node, gossip, removed);
-    let commit = Commit { checks: Vec::new(), writes: vec![Write::delete(&row_key(&addr))] };
-    if let Err(e) = table.commit(&commit).await {
+    if let Err(e) = delete_row(table, removed).await {
         // The row stays. Daemons that read it later add the removed one to their tables again, and it is
         // removed once more after another period of silence.
         event!(Warn, StoreDown, "purpose=directory daemon={addr} error={e}");
     }
 }
 
+/// Deletes the row of a removed daemon, unless a later process has written it. A deletion that the store carries out
+/// late must not delete the row of a process that has started meanwhile.
+async fn delete_row(table: &dyn Table, removed: RemovedPeer) -> Result<(), StoreError> {
+    let key = row_key(&removed.addr);
+    let Some(row) = table.get(&key).await? else {
+        return Ok(());
+    };
+    let decoded = serde_json::from_str::<DirectoryRow>(&row.value);
+    if decoded.is_ok_and(|found| found.peer_info.incarnation > removed.incarnation) {
+        return Ok(());
+    }
+    let present = Check { key: key.clone(), version: row.version };
+    let commit = Commit { checks: vec![present], writes: vec![Write::delete(&key)] };
+    table.commit(&commit).await.map(|_version| ())
+}
+
 /// Reads the directory, with increasing delays until that succeeds, and then introduces this daemon to those
 /// that were not known.
 async fn read_with_retry(node: &Rc<Node>, gossip: &Rc<Gossip>, table: &dyn Table) -> DirectoryScan {
@@ -191,11 +214,14 @@
 }
 
 /// Result of reading the directory.
+#[derive(Default)]
 struct DirectoryScan {
     /// Daemons that were not known before.
     new_peers: Vec<PeerInfo>,
     /// Whether this daemon's row exists and names its present place and service.
     has_own_row: bool,
+    /// Version of this daemon's row; 0 if it doesn't exist.
+    own_row_version: u64,
 }
 
 async fn introduce_self(node: &Node, gossip: &Gossip) {
@@ -205,12 +231,14 @@
     }
 }
 
-/// Writes this daemon's row, replacing any row of an earlier process on the same address.
-async fn write_own_row(node: &Node, table: &dyn Table) -> Result<(), StoreError> {
+/// Writes this daemon's row in place of the version `replaced`, which an earlier process may have left.
+async fn write_own_row(node: &Node, table: &dyn Table, replaced: u64) -> Result<(), StoreError> {
     let row = DirectoryRow { peer_info: node.peer_info(), departures: Vec::new() };
     let text =
         serde_json::to_string(&row).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
-    let commit = Commit { checks: Vec::new(), writes: vec![Write::put(&node.directory_key(), &text)] };
+    let key = node.directory_key();
+    let present = Check { key: key.clone(), version: replaced };
+    let commit = Commit { checks: vec![present], writes: vec![Write::put(&key, &text)] };
     table.commit(&commit).await.map(|_version| ())
 }
 
@@ -223,11 +251,12 @@
     let now = Instant::now();
     let latest_start = latest_start();
     let own = node.peer_info();
-    let mut found = DirectoryScan { new_peers: Vec::new(), has_own_row: false };
+    let mut found = DirectoryScan::default();
     for (key, row) in rows {
         match decode_row(&key, &row.value, latest_start) {
             Ok(DirectoryRow { peer_info, departures }) if peer_info.addr == own.addr => {
                 node.supersede(peer_info.incarnation);
+                found.own_row_version = row.version;
                 found.has_own_row = peer_info.place == own.place && peer_info.service == own.service;
                 departures::restore(node, departures);
             }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -260,7 +260,8 @@
         }
     }
 
-    fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
+    /// Carries out an operation, unless the store is down.
+    pub fn apply(&self, op: &StoreOp) -> Result<StoreRep, StoreError> {
         if self.is_down.load(SeqCst) {
             return Err(StoreError::Down);
         }
