--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -177,3 +177,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "store_watch_tests.rs"]
+mod store_watch_tests;
