--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,9 +3,9 @@
 
 pub mod cut;
 pub mod endless;
+pub mod source;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::SeqCst;
@@ -24,8 +24,6 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use limit::QuotaTolerance;
-use relay::clock::BootTime;
-use relay::config_refresh::{ConfigDecoder, ConfigSource, FetchedConfig, WatchReply};
 use relay::daemon::{Sockets, run_daemon};
 use relay::datagram::{Datagram, Hello, PeerInfo, Status};
 use relay::header_names::HeaderNames;
@@ -34,6 +32,7 @@
 use relay::node::{Bounds, Identity, Node};
 use relay::registration::Heartbeat;
 use socket2::SockRef;
+pub use source::{Source, SourceClient};
 use store::{Commit, MemStore, Row, StoreError, StoreOp, StoreRep, Table};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
@@ -47,8 +46,6 @@
 pub const SERVICE: &str = "sacristia";
 /// Timeout for anything that a test waits for.
 const TIMEOUT: Duration = Duration::from_secs(20);
-/// Time after which a query of the source fails that gets no answer.
-pub const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Memory in bytes that bodies of requests may take in one daemon.
 pub const BODY_MEMORY_BYTES: usize = 4 * 1024 * 1024;
 /// Segment size in bytes of a connection with small buffers.
@@ -295,65 +292,6 @@
     }
 }
 
-/// Source of the configuration for all daemons of a test.
-#[derive(Debug)]
-pub struct Source {
-    /// Makes the newest configuration, with keys hashed by the daemon's hasher.
-    pub make_snapshot: Cell<fn(&KeyHasher) -> Snapshot>,
-    /// Whether the source answers.
-    pub is_up: Cell<bool>,
-    /// Incarnation of a daemon that the source doesn't answer.
-    pub partitioned: Cell<Option<u64>>,
-    /// Incarnations of daemons that the source turns away at once.
-    pub turned_away: RefCell<HashSet<u64>>,
-    /// Incarnations of daemons whose queries end without an answer, after [`QUERY_TIMEOUT`].
-    pub unanswered: RefCell<HashSet<u64>>,
-}
-
-struct SourceClient {
-    incarnation: u64,
-    source: Rc<Source>,
-    hasher: KeyHasher,
-}
-
-#[async_trait(?Send)]
-impl ConfigSource for SourceClient {
-    async fn watch(&mut self, known: Version, _wait: Duration) -> Result<WatchReply, StoreError> {
-        let asked_at = BootTime::now();
-        sleep(Duration::from_millis(20)).await;
-        if self.source.unanswered.borrow().contains(&self.incarnation) {
-            sleep(QUERY_TIMEOUT).await;
-            return Err(StoreError::Ambiguous);
-        }
-        if self.source.turned_away.borrow().contains(&self.incarnation) {
-            return Err(StoreError::Down);
-        }
-        if !self.source.is_up.get() || self.source.partitioned.get() == Some(self.incarnation) {
-            return Err(StoreError::Down);
-        }
-        let snapshot = (self.source.make_snapshot.get())(&self.hasher);
-        let raw = Bytes::from(snapshot.version.to_string());
-        let fetched = (snapshot.version > known).then_some(FetchedConfig { snapshot, raw });
-        Ok(WatchReply { fetched, proven_at: asked_at })
-    }
-
-    fn decoder(&self) -> Box<dyn ConfigDecoder> {
-        Box::new(SourceDecoder { source: Rc::clone(&self.source), hasher: self.hasher.clone() })
-    }
-}
-
-struct SourceDecoder {
-    source: Rc<Source>,
-    hasher: KeyHasher,
-}
-
-impl ConfigDecoder for SourceDecoder {
-    fn decode(&self, raw: Bytes) -> Result<FetchedConfig, StoreError> {
-        let snapshot = (self.source.make_snapshot.get())(&self.hasher);
-        Ok(FetchedConfig { snapshot, raw })
-    }
-}
-
 /// A daemon and the server beside it.
 #[derive(Debug)]
 pub struct Daemon {
