Make up the missing last byte of a handoff alone

Cause: the byte that stands for is_repeat, which daemons of an older version don't send, was appended in take_header, which decodes every message between daemons. So a proof's age or a report that lacked its last byte was decoded instead of refused: a special case of one message in the mechanism of all. Result: the test of the older handoff passes unchanged but for the call; a new test shows that an age without its last byte is refused. It was not run on the code before.

--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -183,11 +183,20 @@
 
 /// Removes a header and decodes the message in it; `None` if it is missing or malformed.
 pub fn take_header<T: DeserializeOwned>(headers: &mut HeaderMap, name: &HeaderName) -> Option<T> {
+    postcard::from_bytes(&take_bytes(headers, name)?).ok()
+}
+
+/// Removes the header with a [`Handoff`] and decodes it; `None` if it is missing or malformed.
+pub fn take_handoff(headers: &mut HeaderMap) -> Option<Handoff> {
+    let mut bytes = take_bytes(headers, &HANDOFF_HEADER)?;
+    // Stands for the last field, which daemons of an older version don't send.
+    bytes.push(0);
+    postcard::from_bytes(&bytes).ok()
+}
+
+fn take_bytes(headers: &mut HeaderMap, name: &HeaderName) -> Option<Vec<u8>> {
     let value = headers.remove(name)?;
     let digit = |byte: u8| char::from(byte).to_digit(16);
     let decode_pair = |pair: &[u8]| Some((digit(pair[0])? << 4 | digit(*pair.get(1)?)?) as u8);
-    let mut bytes = value.as_bytes().chunks(2).map(decode_pair).collect::<Option<Vec<u8>>>()?;
-    // Stands for a last field that daemons of an older version don't send.
-    bytes.push(0);
-    postcard::from_bytes(&bytes).ok()
+    value.as_bytes().chunks(2).map(decode_pair).collect()
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,7 +9,8 @@
 //! their servers ([`departures`]). Those of one data centre exchange their
 //! status over UDP ([`gossip`], [`peers`]), and data centres exchange digests of it ([`digest`]).
 //! [`config_refresh`] and [`freshness`] keep the configuration current and track how recently it was proven to
-//! be the newest one; [`config_news`] is what other daemons tell of it. All state of a daemon is a [`node::Node`], which lives on a single thread.
+//! be the newest one; [`config_news`] is what other daemons tell of it. All state of a daemon is a
+//! [`node::Node`], which lives on a single thread.
 //!
 //! ```
 //! use relay::registration::{Heartbeat, HeartbeatOutcome, Registration};
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -26,7 +26,7 @@
 use crate::body_memory::buffer_request_body;
 use crate::exec::LocalExec;
 use crate::handoff::{
-    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, PROOF_AGE_HEADER, REPORT_HEADER,
     RUN_ERROR_HEADER, RunError,
 };
 use crate::node::Node;
@@ -264,7 +264,7 @@
 
 async fn run_handoff(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, FailedHandoff> {
     let (mut parts, body) = req.into_parts();
-    let Some(handoff) = handoff::take_header::<Handoff>(&mut parts.headers, &HANDOFF_HEADER) else {
+    let Some(handoff) = handoff::take_handoff(&mut parts.headers) else {
         return Err(FailedHandoff { error: RunError::declined(DeclineReason::OtherService), service: None });
     };
     let max_bytes = node.conf().map(|c| c.limits).unwrap_or_default().max_body_bytes;
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -640,6 +640,17 @@
     let value = headers[&relay::handoff::HANDOFF_HEADER].to_str().expect("digits").to_owned();
     let without_last_byte = &value[..value.len() - 2];
     headers.insert(&relay::handoff::HANDOFF_HEADER, without_last_byte.parse().expect("a header value"));
-    let decoded: Option<Handoff> = relay::handoff::take_header(&mut headers, &relay::handoff::HANDOFF_HEADER);
+    let decoded = relay::handoff::take_handoff(&mut headers);
     assert!(decoded.is_some_and(|handoff| !handoff.is_repeat));
 }
+
+// Guards against a missing last byte that is made up for messages other than a handoff.
+#[test]
+fn a_message_without_its_last_byte_is_malformed() {
+    let mut headers = hyper::HeaderMap::new();
+    let name = &relay::handoff::PROOF_AGE_HEADER;
+    relay::handoff::insert_header(&mut headers, name, &Duration::from_secs(1));
+    let value = headers[name].to_str().expect("digits").to_owned();
+    headers.insert(name, value[..value.len() - 2].parse().expect("a header value"));
+    assert_eq!(relay::handoff::take_header::<Duration>(&mut headers, name), None);
+}
