--- a/crates/conf/src/compiled_shard.rs
+++ b/crates/conf/src/compiled_shard.rs
@@ -6,6 +6,7 @@
 
 use crate::error::ConfError;
 use crate::key::KeyHash;
+use crate::regions::AllowedRegions;
 use crate::render::render_routes;
 use crate::shard::Shard;
 use crate::snapshot::{Customer, DEFAULT_ATTEMPTS, DEFAULT_PRIORITY, Key, Route, Service};
@@ -31,7 +32,7 @@
         for s in &shard.service {
             check_service(s)?;
             let (name, floor, cross_region, queue) = (s.name.clone(), s.floor, s.cross_region, s.queue);
-            compiled.services.push(Arc::new(Service { name, floor, cross_region, queue }));
+            compiled.services.push(Arc::new(Service { name, floor, cross_region, queue, cold_rate: None }));
         }
         for r in &shard.route {
             compiled.routes.push(compile_route(r)?);
@@ -39,7 +40,13 @@
         for c in &shard.customer {
             check_customer(c)?;
             let (name, rate, burst) = (c.name.clone(), c.rate, c.burst);
-            compiled.customers.push(Arc::new(Customer { name, rate, burst, priority: None }));
+            compiled.customers.push(Arc::new(Customer {
+                name,
+                rate,
+                burst,
+                priority: None,
+                regions: AllowedRegions::All,
+            }));
             let Some(name) = c.template.as_deref() else {
                 continue;
             };
@@ -79,6 +86,7 @@
         attempts: DEFAULT_ATTEMPTS,
         priority: DEFAULT_PRIORITY,
         split: Vec::new(),
+        regions: AllowedRegions::All,
     }))
 }
 
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod error;
 pub mod key;
 pub mod locate;
+pub mod regions;
 pub mod render;
 pub mod shard;
 pub mod snapshot;
@@ -36,6 +37,7 @@
 pub use error::ConfError;
 pub use key::{KeyHash, KeyHasher};
 pub use locate::locate_error;
+pub use regions::AllowedRegions;
 pub use shard::{Config, Digest, Tombstone};
 pub use snapshot::{
     CallerLimits, Customer, Dedupe, Fleet, Key, Priority, RepeatPolicy, Route, Service, Snapshot,
--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::KeyHash;
+use crate::regions::AllowedRegions;
 
 /// What a daemon does with keyed requests when it can't confirm that its view is current.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,6 +86,8 @@
     pub cross_region: bool,
     /// Requests that may wait in the queue of one daemon.
     pub queue: u32,
+    /// Requests a second that a server bears while it is cold; `None`: as many as a warm one.
+    pub cold_rate: Option<f64>,
 }
 
 /// A customer with its fleet-wide rate.
@@ -98,6 +101,8 @@
     pub burst: f64,
     /// Priority of the customer's requests; overrides that of the route. `None`: the route's.
     pub priority: Option<Priority>,
+    /// Regions in which the customer's requests may run. Those of the route bind as well.
+    pub regions: AllowedRegions,
 }
 
 /// Priority of a request; 0 is the most urgent.
@@ -177,6 +182,8 @@
     pub priority: Priority,
     /// Services among which requests are split; if empty, all go to `service`.
     pub split: Vec<WeightedService>,
+    /// Regions in which requests may run. Those of the customer bind as well.
+    pub regions: AllowedRegions,
 }
 
 impl Route {
@@ -268,6 +275,14 @@
         group(first_segment(path)).or_else(|| group(""))
     }
 
+    /// Regions in which a request of `customer` on `route` may run.
+    pub fn allowed_regions(&self, route: &Route, customer: Option<&CustomerId>) -> AllowedRegions {
+        match customer.and_then(|name| self.customers.get(name)) {
+            Some(customer) => route.regions.intersect(&customer.regions),
+            None => route.regions.clone(),
+        }
+    }
+
     /// All routes, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
--- a/crates/limit/examples/measure/slopes.rs
+++ b/crates/limit/examples/measure/slopes.rs
@@ -233,7 +233,13 @@
     snapshot.fleet.shares = shares as u32;
     for i in 0..active {
         let name: Box<str> = format!("c{i}").into();
-        let customer = conf::Customer { name: name.clone(), rate: RATE, burst: RATE, priority: None };
+        let customer = conf::Customer {
+            name: name.clone(),
+            rate: RATE,
+            burst: RATE,
+            priority: None,
+            regions: conf::AllowedRegions::All,
+        };
         snapshot.customers.insert(name, Arc::new(customer));
     }
     Arc::new(snapshot)
--- a/crates/limit/src/prefetch_tests.rs
+++ b/crates/limit/src/prefetch_tests.rs
@@ -16,7 +16,13 @@
     pools.set_customers([&name].into_iter());
     let pool = pools.get(&name).expect("set above");
     pool.fill(0, 500, now + Duration::from_secs(1));
-    let customer = Customer { name: name.clone(), rate: 5.0, burst: 10.0, priority: None };
+    let customer = Customer {
+        name: name.clone(),
+        rate: 5.0,
+        burst: 10.0,
+        priority: None,
+        regions: conf::AllowedRegions::All,
+    };
     let customers = Customers::from([(name.clone(), Arc::new(customer))]);
     let aggregator = "127.0.0.1:7000".parse().expect("an address");
     let source = Source {
--- a/crates/limit/tests/large_fleet.rs
+++ b/crates/limit/tests/large_fleet.rs
@@ -27,7 +27,13 @@
 const TRIES: usize = 3;
 
 fn conf(rate: f64) -> Snapshot {
-    let customer = Customer { name: "parish".into(), rate, burst: rate, priority: None };
+    let customer = Customer {
+        name: "parish".into(),
+        rate,
+        burst: rate,
+        priority: None,
+        regions: conf::AllowedRegions::All,
+    };
     let parts = SnapshotParts { customers: vec![customer], ..SnapshotParts::default() };
     parts.into_snapshot(1).expect("the test's configuration is valid")
 }
--- a/crates/limit/tests/local_buckets.rs
+++ b/crates/limit/tests/local_buckets.rs
@@ -19,7 +19,13 @@
 const STEP: Duration = Duration::from_millis(10);
 
 fn conf(rate: f64) -> Snapshot {
-    let customer = Customer { name: "parish".into(), rate, burst: rate, priority: None };
+    let customer = Customer {
+        name: "parish".into(),
+        rate,
+        burst: rate,
+        priority: None,
+        regions: conf::AllowedRegions::All,
+    };
     let parts = SnapshotParts { customers: vec![customer], ..SnapshotParts::default() };
     parts.into_snapshot(1).expect("the test's configuration is valid")
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -17,7 +17,9 @@
 use base::{Place, Version};
 use bytes::Bytes;
 use conf::compile::SnapshotParts;
-use conf::{CallerLimits, Customer, Dedupe, Key, KeyHasher, RepeatPolicy, Route, Service, Snapshot};
+use conf::{
+    AllowedRegions, CallerLimits, Customer, Dedupe, Key, KeyHasher, RepeatPolicy, Route, Service, Snapshot,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -715,8 +717,20 @@
         expires: None,
     };
     SnapshotParts {
-        services: vec![Service { name: SERVICE.into(), floor: 0.0, cross_region: true, queue: 100 }],
-        customers: vec![Customer { name: "parish".into(), rate, burst: rate, priority: None }],
+        services: vec![Service {
+            name: SERVICE.into(),
+            floor: 0.0,
+            cross_region: true,
+            queue: 100,
+            cold_rate: None,
+        }],
+        customers: vec![Customer {
+            name: "parish".into(),
+            rate,
+            burst: rate,
+            priority: None,
+            regions: AllowedRegions::All,
+        }],
         keys: keys.iter().map(key).collect(),
         routes: vec![
             route("stock", RepeatPolicy::Always, false),
@@ -744,5 +758,6 @@
         attempts: 2,
         priority: 1,
         split: Vec::new(),
+        regions: AllowedRegions::All,
     }
 }
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -11,6 +11,8 @@
 use conf::Priority;
 use smallvec::SmallVec;
 
+use crate::cold_gate::ColdGate;
+
 /// Identifies a request in a queue. A queue never uses a ticket twice.
 pub type Ticket = u64;
 
@@ -77,13 +79,38 @@
     /// In no particular order. No request is added once there are [`MAX_WAITING_PER_SLOT`] for each slot.
     waiting: Vec<WaitingRequest>,
     running: Vec<RunningRequest>,
+    /// Bounds the starts while the server is cold.
+    gate: ColdGate,
     last_ticket: Ticket,
 }
 
 impl SlotQueue {
     /// Creates an empty queue for a server with `slots` slots.
     pub fn new(slots: usize) -> Self {
-        Self { slots, waiting: Vec::new(), running: Vec::new(), last_ticket: 0 }
+        Self { slots, waiting: Vec::new(), running: Vec::new(), gate: ColdGate::default(), last_ticket: 0 }
+    }
+
+    /// Puts `gate` in front of the slots.
+    #[must_use]
+    pub fn with_gate(self, gate: ColdGate) -> Self {
+        Self { gate, ..self }
+    }
+
+    /// Sets the most requests that may start in one second; `None` if the server is warm.
+    pub fn set_cold_limit(&mut self, limit: Option<usize>) {
+        self.gate.set_limit(limit);
+    }
+
+    /// Takes back the start of a request at `started` from the limit of a cold server, which did not run it.
+    pub fn take_back_start(&mut self, started: Instant) {
+        self.gate.take_back(started);
+    }
+
+    /// Time after which [`Self::start_waiting`] should be called because a cold server bears one more request;
+    /// `None` if nothing waits for that.
+    pub fn gate_wait(&self, now: Instant) -> Option<Duration> {
+        let is_held = !self.waiting.is_empty() && self.running.len() < self.slots;
+        is_held.then(|| self.gate.wait(0, now)).filter(|wait| !wait.is_zero())
     }
 
     /// Changes the number of slots. Requests that run beyond a lowered number go on.
@@ -115,7 +142,7 @@
         }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        if self.running.len() < self.slots && self.waiting.is_empty() {
+        if self.can_start(now) && self.waiting.is_empty() {
             self.start(ticket, &request, now);
             return OfferOutcome::Started(ticket);
         }
@@ -138,7 +165,7 @@
     /// deadline.
     pub fn start_waiting(&mut self, now: Instant) -> SmallVec<[Dequeued; 4]> {
         let mut dequeued = SmallVec::new();
-        while self.running.len() < self.slots {
+        while self.can_start(now) {
             let best = self.waiting.iter().enumerate().min_by_key(|(_, w)| queue_order(&w.request, now));
             let Some((index, _)) = best else { break };
             let WaitingRequest { ticket, request } = self.waiting.swap_remove(index);
@@ -154,19 +181,26 @@
 
     /// Expected time until `request` would get a slot if it were offered now.
     pub fn expected_wait(&self, request: &SlotRequest, now: Instant) -> Duration {
-        if self.running.len() < self.slots && self.waiting.is_empty() {
+        if self.can_start(now) && self.waiting.is_empty() {
             return Duration::ZERO;
         }
         let own = queue_order(request, now);
         let ahead = self.waiting.iter().map(|w| &w.request).filter(|r| queue_order(r, now) <= own);
         let mut free_in = self.slots_free_in(now);
+        let mut count_ahead = 0;
         for request in ahead {
+            count_ahead += 1;
             // Each takes the slot that is free first. Their order hardly matters for the time of the last one.
             if let Some(first) = free_in.iter_mut().min() {
                 *first += request.expected_run;
             }
         }
-        free_in.into_iter().min().unwrap_or_default()
+        free_in.into_iter().min().unwrap_or_default().max(self.gate.wait(count_ahead, now))
+    }
+
+    /// Whether a slot is free and a cold server bears one more request.
+    fn can_start(&self, now: Instant) -> bool {
+        self.running.len() < self.slots && self.gate.wait(0, now).is_zero()
     }
 
     /// Expected time until each slot is free. There are as many as slots, and at least one; runs beyond a
@@ -188,6 +222,7 @@
     }
 
     fn start(&mut self, ticket: Ticket, request: &SlotRequest, now: Instant) {
+        self.gate.record_start(now);
         self.running.push(RunningRequest { ticket, started: now, expected_run: request.expected_run });
     }
 }
