Name a position in the store's history, and two more reasons to decline

Cause: versions of the store say nothing across a restore, and hand-offs can be declined for their region or an evacuation. Change: base::StoreStamp, DeclineReason::OutsideRegions and Evacuated, Refusal::NoRegion. Nothing uses them yet.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod retry;
+pub mod stamp;
 
 pub use event::Event;
 pub use id::{
@@ -20,3 +21,4 @@
 };
 pub use refusal::{Executed, Refusal};
 pub use retry::RetryReason;
+pub use stamp::StoreStamp;
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -73,6 +73,8 @@
     DeadlineTooShort "deadline-too-short" 504 No "send a longer deadline or retry when load falls";
     /// The service has no server that may take work.
     NoServer "no-server" 503 No "retry later; operators: see `pomeloctl explain server`";
+    /// The regions allowed for the route and those allowed for the customer have none in common.
+    NoRegion "no-region" 503 No "operators: let the route and the customer share an allowed region";
     /// No connection to a server could be opened.
     ConnectFailed "connect-failed" 502 No "retry; operators: check the path to the servers";
     /// Every attempted server shed the request and said that it did not execute it.
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -93,6 +93,12 @@
     /// The daemon is stopping.
     #[display("stopping")]
     Stopping,
+    /// The request may not run in the region of the server.
+    #[display("region")]
+    OutsideRegions,
+    /// The server's data centre is being evacuated.
+    #[display("evacuated")]
+    Evacuated,
 }
 
 impl DeclineReason {
