Keep requests in their allowed regions, gate cold servers, honour evacuations

Change: the caller's daemon leaves out servers outside the allowed regions and in evacuated data centres, the server's daemon checks again; a cold server starts at most its stated rate in any second; evacuations travel as the datagram OperatorState and with fetched configurations.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -48,6 +48,7 @@
     405 KeyWithdrawn "A key was withdrawn.";
     406 KeyWithdrawalStored "A withdrawal taken while the store was down is now stored.";
     407 ConfigHeard "Another daemon has a newer configuration version.";
+    408 EvacuationChanged "The set of data centres to be evacuated has changed.";
     501 SharesChanged "The holders of rate shares changed.";
     502 SharesUnsettled "A change of holders waits for acknowledgements.";
     503 SharesStopped "The daemon may not spend its shares until it has confirmed them.";
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -12,8 +12,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::{DaemonId, Refusal, RetryReason, event};
+use base::{DaemonId, Place, Refusal, RetryReason, event};
 use bytes::Bytes;
+use conf::AllowedRegions;
 use hyper::{Request, Response};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -316,8 +317,14 @@
     fn choose_from_known(&self) -> Option<(DaemonId, bool)> {
         let now = Instant::now();
         let service = &*self.admitted.service;
-        let (mut addrs, mut candidates) = self.node.peers.borrow().candidates(service, &self.tried, now);
-        self.add_local_server(&mut addrs, &mut candidates, now);
+        let regions = self.allowed_regions();
+        let operator_state = self.node.operator_state.borrow();
+        let may_run_at = |place: &Place| regions.allows(&place.region) && !operator_state.is_evacuated(place);
+        let peers = self.node.peers.borrow();
+        let (mut addrs, mut candidates) = peers.candidates(service, &self.tried, may_run_at, now);
+        if may_run_at(&self.node.identity.place) {
+            self.add_local_server(&mut addrs, &mut candidates, now);
+        }
         let sizes = self.node.response_sizes.borrow();
         let size = sizes.get(&self.admitted.route_hash).copied().unwrap_or(0.0);
         let objective = self.admitted.route.objective;
@@ -336,6 +343,19 @@
         Some((addrs[index], !has_healthy))
     }
 
+    /// Regions in which the request may run, by the configuration that admitted it and by the one now in force.
+    fn allowed_regions(&self) -> AllowedRegions {
+        let admitted = &self.admitted.regions;
+        let newer = self.node.conf().filter(|conf| conf.version != self.admitted.version);
+        let head = &self.admitted.head;
+        let newer = newer.as_ref().and_then(|conf| {
+            let host = edge::admit::request_host(head);
+            let route = conf.match_route(host, head.uri.path(), head.method.as_str())?;
+            Some(conf.allowed_regions(route, self.admitted.customer.as_ref()))
+        });
+        newer.map_or_else(|| admitted.clone(), |regions| admitted.intersect(&regions))
+    }
+
     /// Adds the server beside this daemon to the candidates.
     fn add_local_server(&self, addrs: &mut Vec<DaemonId>, candidates: &mut Vec<Candidate>, now: Instant) {
         let me = self.node.identity.addr;
--- a/crates/relay/src/config_exchange.rs
+++ b/crates/relay/src/config_exchange.rs
@@ -82,9 +82,12 @@
     let answer = timeout(FETCH_TIMEOUT, links::fetch_config(node, peer)).await;
     let refused = match answer.ok().flatten() {
         None => "outcome=no-answer".to_owned(),
-        Some((raw, proof_age)) => match decoder.decode(raw) {
+        Some(relayed) => match decoder.decode(relayed.raw) {
             Ok(fetched) if fetched.snapshot.version > known => {
-                node.adopt_config(fetched, asked_at.before(proof_age), &peer);
+                if let Some(state) = relayed.operator_state {
+                    node.adopt_operator_state(state, &peer);
+                }
+                node.adopt_config(fetched, asked_at.before(relayed.proof_age), &peer);
                 return;
             }
             Ok(fetched) => format!("outcome=not-newer version={}", fetched.snapshot.version),
--- a/crates/relay/src/config_refresh.rs
+++ b/crates/relay/src/config_refresh.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::BootTime;
 use crate::node::Node;
+use crate::operator_state::OperatorState;
 use crate::{config_exchange, store_watch};
 
 /// A configuration from the store or another daemon.
@@ -31,6 +32,8 @@
 pub struct WatchReply {
     /// The newest configuration, unless it is the version that is already known.
     pub fetched: Option<FetchedConfig>,
+    /// What operators ask of the fleet apart from its configuration; `None` if the answer doesn't tell.
+    pub operator_state: Option<OperatorState>,
     /// Time at which `fetched`, or else the known version, was the newest.
     pub proven_at: BootTime,
 }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -96,6 +96,7 @@
     spawn_local(gossip::receive_datagrams(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_statuses(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::send_digests(Rc::clone(&node), Rc::clone(&gossip)));
+    spawn_local(gossip::send_operator_state(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(gossip::return_spare_tokens(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(config_refresh::refresh_config(Rc::clone(&node), source));
     spawn_local(directory::maintain_directory(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -10,6 +10,7 @@
 use crate::clock::BootTime;
 use crate::digest::Digest;
 use crate::handoff::ServerReport;
+use crate::operator_state::OperatorState;
 use crate::registration::Departure;
 
 /// Start time of a daemon's process in Unix milliseconds. Tells successive processes on one address apart.
@@ -47,6 +48,8 @@
         /// The departures.
         departures: Vec<Departure>,
     },
+    /// What operators ask of the fleet apart from its configuration.
+    OperatorState(OperatorState),
 }
 
 impl Datagram {
@@ -59,6 +62,7 @@
             Datagram::TokenRequest(..) | Datagram::TokenGrants(_) => "tokens",
             Datagram::Digest { .. } => "digest",
             Datagram::Departures { .. } => "departures",
+            Datagram::OperatorState(_) => "operator-state",
         }
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -58,6 +58,9 @@
             || rep.status() == StatusCode::MISDIRECTED_REQUEST
         {
             local_server.record_arrival(true);
+            if rep.status() == StatusCode::MISDIRECTED_REQUEST {
+                self.run.take_back_start();
+            }
             return Err(RunError::declined(DeclineReason::Shed));
         }
         local_server.record_arrival(false);
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -13,6 +13,7 @@
 use limit::TransferAmount;
 use prometheus::IntCounterVec;
 use rand::Rng;
+use route::placement::Distance;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +22,7 @@
 use crate::departures;
 use crate::digest::Digest;
 use crate::node::Node;
+use crate::operator_state::OperatorState;
 use crate::peers::StatusOutcome;
 use crate::registration::Departure;
 
@@ -28,6 +30,10 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Number of lowest-ranked daemons of a data centre that send digests, so that one of them may be cut off.
 const DIGEST_SENDERS: usize = 2;
+/// Interval at which the state that operators ask for is repeated in a data centre.
+const OPERATOR_STATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after the last evacuation for which the state is repeated.
+const OPERATOR_STATE_REPEAT: Duration = Duration::from_secs(30);
 /// Shortest time between two rounds of status messages, however often a status becomes urgent.
 const MIN_STATUS_INTERVAL: Duration = Duration::from_millis(40);
 /// Assumed time in milliseconds that a digest takes from one data centre to another.
@@ -94,6 +100,45 @@
     }
 }
 
+/// Tells other daemons what operators ask of the fleet: at once when the store told a change, and repeatedly while
+/// there is an evacuation and for some time after one, since datagrams may be lost and daemons start.
+pub async fn send_operator_state(node: Rc<Node>, gossip: Rc<Gossip>) {
+    let mut repeat_until = Instant::now();
+    loop {
+        let changed = timeout(OPERATOR_STATE_INTERVAL, node.operator_state_changed.notified()).await.is_ok();
+        let now = Instant::now();
+        let state = node.operator_state.borrow().clone();
+        if changed || !state.evacuated.is_empty() {
+            repeat_until = now + OPERATOR_STATE_REPEAT;
+        }
+        let is_sender = node.peers.borrow().rank_in_centre(now) < DIGEST_SENDERS;
+        if changed || (is_sender && now < repeat_until) {
+            let message = Datagram::OperatorState(state);
+            let mut targets = centre_addrs(&node);
+            if changed {
+                targets.extend(node.peers.borrow().daemon_of_each_centre(&mut rand::rng()));
+            }
+            for to in targets {
+                gossip.send_datagram(to, &message);
+            }
+        }
+    }
+}
+
+/// Applies what operators ask of the fleet, and passes a change on to this data centre if it came from another one.
+fn handle_operator_state(node: &Node, gossip: &Gossip, from: SocketAddr, state: OperatorState) {
+    let message = Datagram::OperatorState(state.clone());
+    if !node.adopt_operator_state(state, &from) {
+        return;
+    }
+    let distance = node.peers.borrow().distance(&from);
+    if distance.is_some_and(|distance| distance > Distance::SameDataCentre) {
+        for to in centre_addrs(node) {
+            gossip.send_datagram(to, &message);
+        }
+    }
+}
+
 /// Addresses of the other daemons of this data centre.
 fn centre_addrs(node: &Node) -> Vec<DaemonId> {
     node.peers.borrow().peers_in_centre().map(|p| p.addr).collect()
@@ -181,6 +226,7 @@
             node.admission_changed.notify_waiters();
         }
         Datagram::Departures { of, departures } => handle_departures(node, from, of, departures, now),
+        Datagram::OperatorState(state) => handle_operator_state(node, gossip, from, state),
     }
 }
 
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -26,6 +26,10 @@
 /// daemon that sends the configuration.
 pub static PROOF_AGE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-proof-age");
 
+/// Header that carries an [`OperatorState`](crate::operator_state::OperatorState), set by the daemon that sends its
+/// configuration.
+pub static STATE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-state");
+
 /// What the daemon beside the server needs to know to run a request. Encoded with postcard, so fields must
 /// keep their order.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -10,7 +10,7 @@
 
 use base::{CustomerId, Executed, Refusal, Version, event};
 use bytes::Bytes;
-use conf::{Route, Snapshot};
+use conf::{AllowedRegions, Route, Snapshot};
 use hyper::body::Body as HttpBody;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
@@ -68,6 +68,8 @@
     /// request's id.
     pub(crate) service: base::ServiceId,
     pub(crate) customer: Option<CustomerId>,
+    /// Regions in which the request may run, by the configuration `version`. Not empty.
+    pub(crate) regions: AllowedRegions,
     pub(crate) priority: conf::Priority,
     /// When the answer is due by the route's latency objective.
     pub(crate) objective_at: Instant,
@@ -190,6 +192,10 @@
     let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
     let (conf, route) = find_route(node, conf, &head)?;
     let customer = authenticate(node, &conf, &route, &head.headers).await?;
+    let regions = conf.allowed_regions(&route, customer.as_ref());
+    if regions.is_empty() {
+        return Err(RequestRefusal { customer, ..Refusal::NoRegion.into() });
+    }
     let deadline = now + request_timeout(node, &head.headers, &route)?;
     if let Some(customer) = &customer {
         take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
@@ -223,6 +229,7 @@
         route_hash,
         service,
         customer,
+        regions,
         priority,
         objective_at,
         deadline,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod log_writer;
 pub mod metrics;
 pub mod node;
+pub mod operator_state;
 mod peer;
 pub mod peers;
 pub mod pipeline;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -5,15 +5,18 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base::{DaemonId, ServiceId};
 use bytes::Bytes;
+use conf::Snapshot;
 use derive_more::Debug;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
 use hyper::header::HOST;
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -26,10 +29,11 @@
 use crate::body_memory::buffer_request_body;
 use crate::exec::LocalExec;
 use crate::handoff::{
-    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, PROOF_AGE_HEADER, REPORT_HEADER,
-    RUN_ERROR_HEADER, RunError,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
+    RUN_ERROR_HEADER, RunError, STATE_HEADER,
 };
 use crate::node::Node;
+use crate::operator_state::OperatorState;
 use crate::socket;
 
 /// Timeout for opening a connection to another daemon.
@@ -199,16 +203,27 @@
     }
 }
 
-/// Fetches the configuration of another daemon, with the age of that daemon's proof that the configuration is
-/// the newest one.
-pub async fn fetch_config(node: &Node, from: DaemonId) -> Option<(Bytes, Duration)> {
+/// Configuration of another daemon, as encoded by its source.
+#[derive(Debug)]
+pub struct RelayedConfig {
+    /// Encoded configuration.
+    pub raw: Bytes,
+    /// Age of the daemon's proof that the configuration is the newest one.
+    pub proof_age: Duration,
+    /// What operators ask of the fleet, as the daemon knows it. Daemons of an older version don't tell.
+    pub operator_state: Option<OperatorState>,
+}
+
+/// Fetches the configuration of another daemon.
+pub async fn fetch_config(node: &Node, from: DaemonId) -> Option<RelayedConfig> {
     let uri = format!("http://{from}{CONFIG_PATH}");
     let req = Request::builder().uri(uri).body(Full::new(Bytes::new())).ok()?;
     let rep = node.links.send_request(from, req).await.ok()?;
     let (mut parts, body) = rep.into_parts();
     let proof_age: Duration = handoff::take_header(&mut parts.headers, &PROOF_AGE_HEADER)?;
+    let operator_state = handoff::take_header(&mut parts.headers, &STATE_HEADER);
     match buffer_body(body, MAX_CONFIG_BYTES).await {
-        Ok(raw) => Some((raw, proof_age)),
+        Ok(raw) => Some(RelayedConfig { raw, proof_age, operator_state }),
         Err(e) => {
             log::warn!("configuration of daemon {from} not received: {e}");
             None
@@ -224,6 +239,7 @@
     };
     let mut rep = Response::new(Body::whole(node.raw_conf.borrow().clone()));
     handoff::insert_header(rep.headers_mut(), &PROOF_AGE_HEADER, &age);
+    handoff::insert_header(rep.headers_mut(), &STATE_HEADER, &*node.operator_state.borrow());
     rep
 }
 
@@ -267,8 +283,9 @@
     let Some(handoff) = handoff::take_handoff(&mut parts.headers) else {
         return Err(FailedHandoff { error: RunError::declined(DeclineReason::OtherService), service: None });
     };
-    let max_bytes = node.conf().map(|c| c.limits).unwrap_or_default().max_body_bytes;
     let run = async {
+        let conf = may_run_here(node, &handoff, &parts)?;
+        let max_bytes = conf.limits.max_body_bytes;
         let body = buffer_request_body(body, max_bytes, &node.body_memory).await;
         let (body, _reserved) = body.map_err(|e| match e {
             BufferError::NoMemory => RunError::declined(DeclineReason::Busy),
@@ -282,8 +299,21 @@
     run.await.map_err(|error| FailedHandoff { error, service: Some(handoff.service.clone()) })
 }
 
+/// Checks by the configuration in force here, which may be newer than that of the caller's daemon, whether the
+/// request may run in this region. Returns that configuration.
+fn may_run_here(node: &Node, handoff: &Handoff, parts: &Parts) -> Result<Arc<Snapshot>, RunError> {
+    let conf = node.conf().ok_or(RunError::declined(DeclineReason::NoServer))?;
+    let host = edge::admit::request_host(parts);
+    let route = conf.match_route(host, parts.uri.path(), parts.method.as_str());
+    let regions = route.map(|route| conf.allowed_regions(route, handoff.customer.as_ref()));
+    if regions.is_some_and(|regions| !regions.allows(&node.identity.place.region)) {
+        return Err(RunError::declined(DeclineReason::OutsideRegions));
+    }
+    Ok(conf)
+}
+
 /// Turns an HTTP/2 request back into the HTTP/1.1 form for the server, with the host as a header.
-fn restore_host(parts: &mut hyper::http::request::Parts) {
+fn restore_host(parts: &mut Parts) {
     let host = parts.uri.authority().and_then(|a| a.as_str().parse().ok());
     if let Some(host) = host {
         parts.headers.insert(HOST, host);
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -8,16 +8,19 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::event;
+use base::{ServiceId, event};
 use bytes::Bytes;
+use conf::{Service, Snapshot};
 use health::{GrayFilter, RequestOutcome};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use route::SlotQueue;
 use route::placement::ServerCondition;
 use route::slot_queue::{Dequeued, OfferOutcome, SlotRequest, Ticket};
+use route::{ColdGate, SlotQueue};
+use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout_at;
 
@@ -55,6 +58,11 @@
 /// Multiple of its expected run time that a request must have left to start while the daemon stops, since run
 /// times on one route vary.
 const STOP_RUN_TIME_FACTOR: u32 = 2;
+/// Heartbeats after an evacuation until they are believed that the server is warm. It may have become cold shortly
+/// before, and the first one may have been sent before that.
+const HEARTBEATS_AFTER_EVACUATION: u8 = 2;
+/// Heartbeats after a failed connection until they are believed that the server is warm, since it may have restarted.
+const HEARTBEATS_AFTER_FAILURE: u8 = 1;
 /// Number of slots assumed before the first heartbeat of the server.
 const INITIAL_SLOTS: usize = 1;
 
@@ -109,6 +117,10 @@
     is_stopping: Cell<bool>,
     /// Whether this process knows the departures that earlier ones acknowledged; no request runs before.
     knows_departures: Cell<bool>,
+    /// Whether the server's data centre is being evacuated: the server gets no requests.
+    is_evacuated: Cell<bool>,
+    /// Requests a second that a cold server bears, for each service that states it.
+    cold_rates: RefCell<HashMap<ServiceId, f64>>,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
 }
@@ -118,7 +130,7 @@
     pub fn new(header_names: Rc<HeaderNames>, addr: SocketAddr, now: Instant) -> Self {
         let state = State {
             registration: Registration::default(),
-            queue: SlotQueue::new(INITIAL_SLOTS),
+            queue: SlotQueue::new(INITIAL_SLOTS).with_gate(ColdGate::new(now)),
             waiters: HashMap::new(),
             gray_filter: GrayFilter::new(now),
             run_times: RunTimes::default(),
@@ -137,6 +149,8 @@
             running_repeats: Cell::new(0),
             is_stopping: Cell::new(false),
             knows_departures: Cell::new(true),
+            is_evacuated: Cell::new(false),
+            cold_rates: RefCell::default(),
             ends_at: Cell::new(None),
         }
     }
@@ -176,7 +190,7 @@
         if draining {
             decline_waiting(&mut state);
         }
-        grant_slots(&mut state, now);
+        self.grant_slots(&mut state, now);
         outcome
     }
 
@@ -212,6 +226,46 @@
         self.state.borrow().registration.departures()
     }
 
+    /// Sets how many requests a second cold servers bear.
+    pub fn set_cold_rates(&self, conf: &Snapshot) {
+        let rate = |service: &Arc<Service>| Some((service.name.clone(), service.cold_rate?));
+        self.cold_rates.replace(conf.services.values().filter_map(rate).collect());
+    }
+
+    /// Sets whether the server's data centre is being evacuated. Waiting requests are then declined. Afterwards the
+    /// server counts as cold until its heartbeats say otherwise.
+    pub fn set_evacuated(&self, is_evacuated: bool) {
+        if self.is_evacuated.replace(is_evacuated) == is_evacuated {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        if is_evacuated {
+            decline_waiting(&mut state);
+        } else {
+            state.registration.suspect_cold(HEARTBEATS_AFTER_EVACUATION);
+        }
+        drop(state);
+        self.report_changed.notify_one();
+    }
+
+    /// Requests a second that the server bears; `None` if it is warm or its service states no limit.
+    fn cold_rate(&self, state: &State, now: Instant) -> Option<f64> {
+        let server = state.registration.server().filter(|_| state.registration.is_cold(now))?;
+        self.cold_rates.borrow().get(&server.heartbeat.service).copied()
+    }
+
+    /// Applies the limit of a cold server to the queue.
+    fn update_cold_limit(&self, state: &mut State, now: Instant) {
+        let rate = self.cold_rate(state, now);
+        state.queue.set_cold_limit(rate.map(|rate| rate as usize));
+    }
+
+    /// Grants free slots to waiting requests.
+    fn grant_slots(&self, state: &mut State, now: Instant) {
+        self.update_cold_limit(state, now);
+        start_waiting(state, now);
+    }
+
     /// Waits for the next change of the report that other daemons should learn of at once.
     pub async fn next_change(&self) {
         self.report_changed.notified().await;
@@ -236,7 +290,7 @@
     }
 
     /// Service of the registered server.
-    pub fn service(&self) -> Option<base::ServiceId> {
+    pub fn service(&self) -> Option<ServiceId> {
         let state = self.state.borrow();
         state.registration.server().map(|s| s.heartbeat.service.clone())
     }
@@ -257,16 +311,22 @@
         let takes_work = state.registration.server().is_some_and(|s| !s.heartbeat.draining);
         let mean = state.run_times.mean().max(state.queue.longest_run(now) / 2);
         let mean = mean.mul_f64(1.0 + SHED_SLOWDOWN * state.shed_share);
+        let slots = usable_slots(state.queue.slots(), self.cold_rate(&state, now), mean);
         ServerReport {
-            takes_work: takes_work && self.knows_departures.get() && !self.is_stopping.get(),
+            takes_work: takes_work && self.accepts_requests(),
             running: state.queue.running() as u16,
             waiting: state.queue.waiting() as u16,
-            slots: state.queue.slots() as u16,
+            slots: slots as u16,
             mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
             condition: state.condition(now),
         }
     }
 
+    /// Whether this daemon lets requests through to its server, apart from what the server's heartbeats say.
+    fn accepts_requests(&self) -> bool {
+        self.knows_departures.get() && !self.is_stopping.get() && !self.is_evacuated.get()
+    }
+
     /// Waits for a slot, runs the request at the server and returns the answer.
     ///
     /// # Errors
@@ -328,15 +388,37 @@
             return Ok(run);
         };
         let max_wait = (pending.free_in * SLOT_WAIT_FACTOR).max(MIN_SLOT_WAIT);
-        match timeout_at((now + max_wait).min(deadline).into(), pending.receiver).await {
-            Ok(Ok(true)) => {
+        let granted = self.wait_for_slot(pending.receiver, (now + max_wait).min(deadline)).await;
+        match granted {
+            Some(Ok(true)) => {
                 run.restart_clock(Instant::now());
                 Ok(run)
             }
-            Ok(Ok(false)) | Err(_) => {
+            Some(Ok(false)) | None => {
                 Err(RunError::Declined { reason: DeclineReason::Busy, free_in: pending.free_in })
             }
-            Ok(Err(_cleared)) => Err(RunError::declined(DeclineReason::Draining)),
+            Some(Err(_cleared)) => Err(RunError::declined(DeclineReason::Draining)),
+        }
+    }
+
+    /// Waits until `until` for the message whether a slot was granted, and meanwhile starts waiting requests whenever
+    /// a cold server bears one more.
+    async fn wait_for_slot(
+        &self,
+        mut receiver: oneshot::Receiver<bool>,
+        until: Instant,
+    ) -> Option<Result<bool, RecvError>> {
+        loop {
+            let now = Instant::now();
+            let gate_wait = self.state.borrow().queue.gate_wait(now);
+            let wake_at = gate_wait.map_or(until, |wait| until.min(now + wait));
+            if let Ok(granted) = timeout_at(wake_at.into(), &mut receiver).await {
+                return Some(granted);
+            }
+            if wake_at >= until {
+                return None;
+            }
+            self.grant_slots(&mut self.state.borrow_mut(), Instant::now());
         }
     }
 
@@ -353,7 +435,11 @@
         if !self.knows_departures.get() {
             return Err(RunError::declined(DeclineReason::NoServer));
         }
+        if self.is_evacuated.get() {
+            return Err(RunError::declined(DeclineReason::Evacuated));
+        }
         let mut state = self.state.borrow_mut();
+        self.update_cold_limit(&mut state, now);
         let server = state.registration.serving(&handoff.service).map_err(RunError::declined)?;
         let server = server.heartbeat.id.clone();
         let condition = state.condition(now);
@@ -400,6 +486,11 @@
         self.state.borrow_mut().run_times.record(route_hash, took);
     }
 
+    /// Takes a start back from the limit of a cold server.
+    pub(crate) fn take_back_start(&self, started: Instant) {
+        self.state.borrow_mut().queue.take_back_start(started);
+    }
+
     /// Frees a request's slot, or its place in the queue, and starts waiting requests.
     pub(crate) fn release_slot(&self, ticket: Ticket) {
         let mut state = self.state.borrow_mut();
@@ -408,7 +499,7 @@
         if state.probe == Some(ticket) {
             state.probe = None;
         }
-        grant_slots(&mut state, Instant::now());
+        self.grant_slots(&mut state, Instant::now());
     }
 
     fn mark_unreachable(&self, e: &std::io::Error) {
@@ -416,6 +507,7 @@
         let mut state = self.state.borrow_mut();
         state.down_until = Some(now + CONNECT_RETRY_DELAY);
         state.gray_filter.observe(RequestOutcome::Failure, now);
+        state.registration.suspect_cold(HEARTBEATS_AFTER_FAILURE);
         self.report_changed.notify_one();
         event!(Warn, ServerAvoided, "reason=unreachable error={e}");
     }
@@ -492,6 +584,12 @@
     free_in: Duration,
 }
 
+/// Slots that a server can keep in use: those of a cold server by the rate of requests that it bears.
+fn usable_slots(slots: usize, cold_rate: Option<f64>, mean_run: Duration) -> usize {
+    let Some(rate) = cold_rate else { return slots };
+    slots.min((rate * mean_run.as_secs_f64()) as usize).max(1)
+}
+
 /// Drops all requests that wait for a slot, so that they can go to another server.
 fn decline_waiting(state: &mut State) {
     for ticket in state.queue.clear_waiting() {
@@ -499,8 +597,8 @@
     }
 }
 
-/// Grants free slots to waiting requests.
-fn grant_slots(state: &mut State, now: Instant) {
+/// Starts waiting requests while there are free slots, and tells them.
+fn start_waiting(state: &mut State, now: Instant) {
     loop {
         let dequeued = state.queue.start_waiting(now);
         if dequeued.is_empty() {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics of one daemon in the Prometheus format.
 
 use prometheus::{
-    Counter, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
-    TextEncoder,
+    Counter, Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the buckets for request times, in seconds.
@@ -41,6 +41,8 @@
     pub config_delay_seconds: Histogram,
     /// Queries of the store for a newer configuration, by outcome.
     pub config_queries: IntCounterVec,
+    /// Data centres to be evacuated, as this daemon knows it.
+    pub evacuated_centres: IntGauge,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -71,6 +73,9 @@
         let repeated_calls = Counter::new("pomelo_repeated_calls_total", "Calls for runs that were repeats.");
         let repeated_calls = repeated_calls.expect("the name is a valid metric name");
         registry.register(Box::new(repeated_calls.clone())).expect("the name is registered once");
+        let evacuated_centres = IntGauge::new("pomelo_evacuated_centres", "Data centres to be evacuated.");
+        let evacuated_centres = evacuated_centres.expect("the name is a valid metric name");
+        registry.register(Box::new(evacuated_centres.clone())).expect("the name is registered once");
         let refusal_opts = latency_opts("pomelo_refusal_seconds", "Time from request to refusal.");
         let refusal_seconds = HistogramVec::new(refusal_opts, &["reason"]);
         let refusal_seconds = refusal_seconds.expect("the bucket bounds are in ascending order");
@@ -96,6 +101,7 @@
                 "Queries of the store for a newer configuration.",
                 "outcome",
             ),
+            evacuated_centres,
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -32,6 +32,7 @@
 use crate::links::Links;
 use crate::local_server::LocalServer;
 use crate::metrics::Metrics;
+use crate::operator_state::{OperatorState, UpdateOutcome};
 use crate::peers::Peers;
 use crate::run_times::RunTimes;
 
@@ -115,6 +116,10 @@
     pub(crate) freshness: RefCell<Freshness>,
     /// What other daemons have told of newer configurations.
     pub(crate) config_news: Cell<ConfigNews>,
+    /// What operators ask of the fleet apart from its configuration.
+    pub operator_state: RefCell<OperatorState>,
+    /// Notified when the store told a change of `operator_state`, which other daemons should learn of at once.
+    pub(crate) operator_state_changed: Notify,
     /// Memory for bodies of requests.
     pub(crate) body_memory: Rc<BodyMemory>,
     /// Token buckets that hold this daemon's share of each customer's rate.
@@ -169,6 +174,8 @@
             raw_conf: RefCell::default(),
             freshness: RefCell::default(),
             config_news: Cell::default(),
+            operator_state: RefCell::default(),
+            operator_state_changed: Notify::new(),
             body_memory: BodyMemory::new(bounds.body_memory),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
@@ -264,6 +271,7 @@
             for customer in snapshot.customers.values() {
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
+            self.local_server.set_cold_rates(&snapshot);
             self.raw_conf.replace(raw);
             self.snapshot.send_replace(Some(Arc::new(snapshot)));
             self.status_changed.notify_one();
@@ -272,6 +280,23 @@
         self.admission_changed.notify_waiters();
     }
 
+    /// Puts what operators ask of the fleet in force unless what is known is as new; true if it has changed.
+    /// `source` names where it came from.
+    pub(crate) fn adopt_operator_state(&self, state: OperatorState, source: &dyn Display) -> bool {
+        let stamp = state.stamp;
+        let outcome = self.operator_state.borrow_mut().update(state);
+        if outcome != UpdateOutcome::Changed {
+            return false;
+        }
+        let state = self.operator_state.borrow();
+        let evacuated: Vec<&str> = state.evacuated.iter().map(|centre| &**centre).collect();
+        event!(Info, EvacuationChanged, "evacuated=[{}] stamp={stamp} source={source}", evacuated.join(","));
+        self.metrics.evacuated_centres.set(evacuated.len() as i64);
+        self.local_server.set_evacuated(state.is_evacuated(&self.identity.place));
+        self.status_changed.notify_one();
+        true
+    }
+
     /// Records that `version` was still the newest one at `proven_at`; ignored unless it is the version in
     /// force.
     pub fn confirm_config(&self, version: Version, proven_at: BootTime) {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -340,19 +340,20 @@
         self.centre_size as u32 + 1
     }
 
-    /// Addresses of the daemons whose servers take work of `service`, without those in `tried`, and their
-    /// servers as candidates. The `index` of a candidate is the position of its daemon's address.
+    /// Addresses of the daemons whose servers take work of `service`, without those in `tried` and those at places
+    /// where `may_run_at` is false, and their servers as candidates. The `index` of a candidate is the position of its daemon's address.
     pub fn candidates(
         &self,
         service: &str,
         tried: &[DaemonId],
+        may_run_at: impl Fn(&Place) -> bool,
         now: Instant,
     ) -> (Vec<SocketAddr>, Vec<Candidate>) {
         let mut addrs = Vec::new();
         let mut candidates = Vec::new();
         for peer in self.by_addr.values() {
             let serves = *peer.service == *service && peer.takes_work();
-            if !serves || tried.contains(&peer.addr) {
+            if !serves || tried.contains(&peer.addr) || !may_run_at(&peer.place) {
                 continue;
             }
             candidates.push(self.candidate(peer, addrs.len(), now));
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -37,7 +37,7 @@
     pub slots: u16,
     /// Whether the server is shutting down and takes no new requests.
     pub draining: bool,
-    /// Remaining time in which the server is slow because it has just started.
+    /// Remaining time for which the server is cold: it is slow and bears few requests.
     pub cold_for: Duration,
 }
 
@@ -97,7 +97,7 @@
     /// Heartbeat with the highest sequence number. Once `draining` is true, it stays true for the
     /// incarnation.
     pub heartbeat: Heartbeat,
-    /// Until when the server is slow because it has just started.
+    /// Until when the server is cold, by its last heartbeat.
     pub cold_until: Instant,
 }
 
@@ -105,6 +105,8 @@
 #[derive(Debug, Default)]
 pub struct Registration {
     server: Option<RegisteredServer>,
+    /// Heartbeats that must arrive before they are believed that the server is warm.
+    unproven_heartbeats: u8,
     /// Departures that servers reported to this process, oldest first.
     departed: Vec<Departure>,
     /// Departures that earlier processes of this daemon acknowledged, oldest first.
@@ -123,11 +125,15 @@
             self.server = Some(RegisteredServer { heartbeat, cold_until });
             return HeartbeatOutcome::Registered;
         };
+        if heartbeat.sequence > known.heartbeat.sequence {
+            self.unproven_heartbeats = self.unproven_heartbeats.saturating_sub(1);
+        }
         let old = &known.heartbeat;
         if heartbeat.born < old.born {
             return HeartbeatOutcome::Outdated;
         }
         if heartbeat.born > old.born || heartbeat.id != old.id {
+            self.unproven_heartbeats = 0;
             self.server = Some(RegisteredServer { heartbeat, cold_until });
             return HeartbeatOutcome::Registered;
         }
@@ -176,6 +182,16 @@
         all.into_iter().rev().take(MAX_STORED_DEPARTURES).collect()
     }
 
+    /// Takes the server as cold until `heartbeats` more have arrived: it may have lost its caches since the last one.
+    pub fn suspect_cold(&mut self, heartbeats: u8) {
+        self.unproven_heartbeats = self.unproven_heartbeats.max(heartbeats);
+    }
+
+    /// Whether the server bears only the requests of a cold one.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.unproven_heartbeats > 0 || self.server.as_ref().is_some_and(|s| now < s.cold_until)
+    }
+
     /// The registered server, draining or not.
     pub fn server(&self) -> Option<&RegisteredServer> {
         self.server.as_ref()
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -41,6 +41,11 @@
         self.started = now;
     }
 
+    /// Takes the start of this run back from the limit of a cold server, because another server has the address.
+    pub(crate) fn take_back_start(&self) {
+        self.local_server.take_back_start(self.started);
+    }
+
     /// Ends the run and records its outcome. `is_whole` tells whether the answer is complete; false if it
     /// broke off.
     pub fn finish(mut self, is_whole: bool, now: Instant) {
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -165,6 +165,11 @@
 }
 
 fn apply_reply(node: &Node, reply: WatchReply, known: Version, sent_at: Instant, backoff: &mut Backoff) {
+    if let Some(state) = reply.operator_state
+        && node.adopt_operator_state(state, &"store")
+    {
+        node.operator_state_changed.notify_one();
+    }
     match reply.fetched {
         Some(fetched) => node.adopt_config(fetched, reply.proven_at, &"store"),
         // The operators have not written a configuration yet.
--- a/crates/relay/tests/clock_steps.rs
+++ b/crates/relay/tests/clock_steps.rs
@@ -22,7 +22,7 @@
         sleep(Duration::from_millis(1_200)).await;
         let other = &fleet.daemons[0].node;
         eventually(|| {
-            let candidates = other.peers.borrow().candidates(SERVICE, &[], Instant::now()).1;
+            let candidates = other.peers.borrow().candidates(SERVICE, &[], |_| true, Instant::now()).1;
             candidates.iter().any(|c| c.reachable)
         })
         .await;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -616,7 +616,7 @@
         eventually(|| {
             self.daemons.iter().all(|d| {
                 let now = Instant::now();
-                let known = d.node.peers.borrow().candidates(SERVICE, &[], now).1;
+                let known = d.node.peers.borrow().candidates(SERVICE, &[], |_| true, now).1;
                 d.node.is_conf_fresh() && known.iter().filter(|c| c.reachable).count() == others
             })
         })
--- a/crates/relay/tests/common/source.rs
+++ b/crates/relay/tests/common/source.rs
@@ -60,7 +60,7 @@
         let snapshot = (self.source.make_snapshot.get())(&self.hasher);
         let raw = Bytes::from(snapshot.version.to_string());
         let fetched = (snapshot.version > known).then_some(FetchedConfig { snapshot, raw });
-        Ok(WatchReply { fetched, proven_at: asked_at })
+        Ok(WatchReply { fetched, operator_state: None, proven_at: asked_at })
     }
 
     fn decoder(&self) -> Box<dyn ConfigDecoder> {
--- a/crates/relay/tests/digest.rs
+++ b/crates/relay/tests/digest.rs
@@ -83,7 +83,7 @@
 
 fn candidate(peers: &Peers, of: SocketAddr, now: Instant) -> Candidate {
     let found = SERVICES.iter().find_map(|service| {
-        let (addrs, candidates) = peers.candidates(service, &[], now);
+        let (addrs, candidates) = peers.candidates(service, &[], |_| true, now);
         let index = addrs.iter().position(|a| *a == of)?;
         candidates.into_iter().find(|c| c.index == index)
     });
@@ -166,7 +166,7 @@
     let named = there.alternatives("registry", now, &mut rng());
     assert!(!named.is_empty() && named.len() <= 3, "{named:?}");
     here.apply_relayed_reports(&named, now);
-    let (_, candidates) = here.candidates("registry", &[], now);
+    let (_, candidates) = here.candidates("registry", &[], |_| true, now);
     assert_eq!(
         candidates
             .iter()
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -55,7 +55,7 @@
 }
 
 fn candidate(peers: &Peers, n: u16, now: Instant) -> Candidate {
-    let (addrs, candidates) = peers.candidates("sacristia", &[], now);
+    let (addrs, candidates) = peers.candidates("sacristia", &[], |_| true, now);
     let index = addrs.iter().position(|a| *a == addr(n)).expect("the daemon is a candidate");
     candidates.into_iter().find(|c| c.index == index).expect("each daemon has its candidate")
 }
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -386,7 +386,7 @@
         fleet.daemons[1].register(2, true);
         eventually(|| {
             let now = std::time::Instant::now();
-            daemon.node.peers.borrow().candidates("sacristia", &[], now).0.is_empty()
+            daemon.node.peers.borrow().candidates("sacristia", &[], |_| true, now).0.is_empty()
         })
         .await;
         let mut stream = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
--- a/crates/relay/tests/slow_runs.rs
+++ b/crates/relay/tests/slow_runs.rs
@@ -44,7 +44,7 @@
 
 /// Number of servers beside other daemons that take work, according to this daemon.
 fn known_servers(daemon: &Daemon) -> usize {
-    daemon.node.peers.borrow().candidates(SERVICE, &[], Instant::now()).0.len()
+    daemon.node.peers.borrow().candidates(SERVICE, &[], |_| true, Instant::now()).0.len()
 }
 
 /// A server that refuses connections.
