Test allowed regions, evacuations and cold servers with whole daemons

Each test names the failure that it guards against: requests in a region or data centre where they may not run, a daemon that starts in an evacuation, a burst at a cold server.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -364,6 +364,8 @@
 ) -> Fleet {
     let source = Rc::new(Source {
         make_snapshot: Cell::new(make_snapshot),
+        evacuated: RefCell::default(),
+        answers: Cell::new(0),
         is_up: Cell::new(true),
         partitioned: Cell::new(None),
         turned_away: RefCell::default(),
@@ -468,6 +470,11 @@
     }
 
     fn heartbeat(&self, born: u64, sequence: u64, draining: bool) {
+        self.cold_heartbeat(born, sequence, draining, Duration::ZERO);
+    }
+
+    /// Applies a heartbeat of the server's incarnation `born`, which is cold for `cold_for`.
+    pub fn cold_heartbeat(&self, born: u64, sequence: u64, draining: bool, cold_for: Duration) {
         let heartbeat = Heartbeat {
             id: self.server_id().into(),
             born,
@@ -475,7 +482,7 @@
             service: SERVICE.into(),
             slots: 2,
             draining,
-            cold_for: Duration::ZERO,
+            cold_for,
         };
         self.node.local_server.apply_heartbeat(heartbeat, Instant::now());
     }
@@ -709,7 +716,8 @@
     parts.into_snapshot(1).expect("the test's configuration is valid")
 }
 
-fn snapshot_parts(hasher: &KeyHasher, keys: &[&str], rate: f64) -> SnapshotParts {
+/// Parts of [`snapshot`], to be changed by a test.
+pub fn snapshot_parts(hasher: &KeyHasher, keys: &[&str], rate: f64) -> SnapshotParts {
     let key = |secret: &&str| Key {
         name: (*secret).into(),
         hash: hasher.hash(secret.as_bytes()),
--- a/crates/relay/tests/common/source.rs
+++ b/crates/relay/tests/common/source.rs
@@ -1,16 +1,17 @@
 //! Source of the daemons' configuration, which turns some of them away or doesn't answer them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use base::Version;
+use base::{DataCentre, StoreStamp, Version};
 use bytes::Bytes;
 use conf::{KeyHasher, Snapshot};
 use relay::clock::BootTime;
 use relay::config_refresh::{ConfigDecoder, ConfigSource, FetchedConfig, WatchReply};
+use relay::operator_state::OperatorState;
 use store::StoreError;
 use tokio::time::sleep;
 
@@ -22,6 +23,10 @@
 pub struct Source {
     /// Makes the newest configuration, with keys hashed by the daemon's hasher.
     pub make_snapshot: Cell<fn(&KeyHasher) -> Snapshot>,
+    /// Data centres to be evacuated.
+    pub evacuated: RefCell<BTreeSet<DataCentre>>,
+    /// Number of answers; the version of the store at the last one.
+    pub answers: Cell<Version>,
     /// Whether the source answers.
     pub is_up: Cell<bool>,
     /// Incarnation of a daemon that the source doesn't answer.
@@ -60,7 +65,11 @@
         let snapshot = (self.source.make_snapshot.get())(&self.hasher);
         let raw = Bytes::from(snapshot.version.to_string());
         let fetched = (snapshot.version > known).then_some(FetchedConfig { snapshot, raw });
-        Ok(WatchReply { fetched, operator_state: None, proven_at: asked_at })
+        self.source.answers.set(self.source.answers.get() + 1);
+        let stamp = StoreStamp { era: 0, version: self.source.answers.get() };
+        let evacuated = self.source.evacuated.borrow().clone();
+        let operator_state = Some(OperatorState { stamp, evacuated });
+        Ok(WatchReply { fetched, operator_state, proven_at: asked_at })
     }
 
     fn decoder(&self) -> Box<dyn ConfigDecoder> {
