--- a/crates/relay/tests/registration.rs
+++ b/crates/relay/tests/registration.rs
@@ -157,3 +157,48 @@
     assert_eq!(registration.serving("sacristia").err(), Some(DeclineReason::Draining));
     assert_eq!(registration.apply_heartbeat(draining(1, 5), Instant::now()), HeartbeatOutcome::Late);
 }
+
+fn cold(born: u64, sequence: u64, cold_for: Duration) -> Heartbeat {
+    Heartbeat { cold_for, ..heartbeat(born, sequence) }
+}
+
+// Guards against a full load on a server whose caches are empty.
+#[test]
+fn a_server_is_cold_for_the_time_that_its_last_heartbeat_states() {
+    let now = Instant::now();
+    let mut registration = Registration::default();
+    registration.apply_heartbeat(heartbeat(1, 1), now);
+    assert!(!registration.is_cold(now));
+    registration.apply_heartbeat(cold(1, 2, Duration::from_secs(3)), now);
+    assert!(registration.is_cold(now + Duration::from_millis(2_999)));
+    assert!(!registration.is_cold(now + Duration::from_secs(3)));
+    registration.apply_heartbeat(cold(1, 4, Duration::from_secs(3)), now);
+    registration.apply_heartbeat(heartbeat(1, 3), now);
+    assert!(registration.is_cold(now), "a late heartbeat says nothing of the present");
+    registration.apply_heartbeat(heartbeat(1, 5), now);
+    assert!(!registration.is_cold(now));
+}
+
+// Guards against a server that became cold unseen, in an evacuation or while it could not be connected to.
+#[test]
+fn a_suspected_server_is_cold_until_enough_heartbeats_have_come() {
+    let now = Instant::now();
+    let mut registration = registered([heartbeat(1, 1)]);
+    registration.suspect_cold(2);
+    registration.suspect_cold(1);
+    registration.apply_heartbeat(heartbeat(1, 2), now);
+    registration.apply_heartbeat(heartbeat(1, 2), now);
+    assert!(registration.is_cold(now), "one heartbeat, delivered twice, is not enough");
+    registration.apply_heartbeat(heartbeat(1, 3), now);
+    assert!(!registration.is_cold(now));
+}
+
+// Guards against a server that stays throttled because of what happened to the one before it.
+#[test]
+fn a_new_incarnation_is_as_cold_as_it_says() {
+    let now = Instant::now();
+    let mut registration = registered([heartbeat(1, 1)]);
+    registration.suspect_cold(2);
+    registration.apply_heartbeat(heartbeat(2, 1), now);
+    assert!(!registration.is_cold(now));
+}
