Take an answer whose status HTTP does not define as broken

Callers got statuses 600 to 999 and an unasked 101 of a failing server as answers, and 503 'not run' if such an answer had the header of a refusal. 000 and other malformed statuses were refused by hyper already. Cause: the server's daemon looked only at id and signature. Now only 200 to 599 count; any other answer is broken, its request's fate unknown.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends one request to the server and judges the answer.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,9 @@
 
 /// Multiple of the expected run time after which a request counts as a failure of its server.
 pub(crate) const OVERDUE_FACTOR: u32 = 5;
+/// Statuses of final answers. Any other one tells nothing of the request: HTTP doesn't define it, or it belongs to an
+/// interim answer or to a change of protocol that nobody asked for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Time past the deadline in which an answer of the server is still accepted.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
@@ -50,6 +54,9 @@
             self.deadline,
         );
         let rep = self.send(req.map(Full::new)).await?;
+        if !FINAL_STATUSES.contains(&rep.status().as_u16()) {
+            return Err(self.record_broken());
+        }
         if rep.headers().get(&local_server.header_names.request_id) != id.as_ref() {
             // An answer that doesn't name this request tells nothing about it, not even that it was shed.
             return Err(self.record_broken());
