Write a daemon's rows again after a restore of the store

Cause: a restored store lacks the latest writes and gives out versions again. Daemons would notice a lost directory row only at the next regular read (24 to 180 s) and a lost row of departures never, and a version of before the restore could name another row when a row is deleted. It reads its directory row first, since a copy holds most rows. No row is deleted with a version of an earlier era. E0306, E0307, E0308, pomelo_store_restores_total and pomelo_store_outdated_answers_total.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -41,6 +41,9 @@
     303 StoreAmbiguous "The answer of a write was lost; its effect is being resolved.";
     304 RowRefused "A row of the store describes nothing that can be used.";
     305 StoreStillDown "A further query of the store has failed.";
+    306 StoreRestored "The store was restored from a copy and has begun a new era.";
+    307 StoreOutdated "An answer of the store from before its restore was refused.";
+    308 RowRewritten "A row of this daemon that the restored store lacked is written again.";
     401 ConfigApplied "A new configuration version is in force in this daemon.";
     402 ConfigRefused "A configuration was refused by validation.";
     403 ConfigConflict "Two operators changed the configuration at the same time.";
--- a/crates/edge/src/dedupe.rs
+++ b/crates/edge/src/dedupe.rs
@@ -136,12 +136,12 @@
     let mut expected_version = 0;
     for _ in 0..MAX_STORE_ATTEMPTS {
         match table.commit(&claim_commit(&mine, expected_version)).await {
-            Ok(version) => {
-                mine.version = version;
+            Ok(stamp) => {
+                mine.version = stamp.version;
                 return Ok(Claimed::Mine(record_claimed(job, mine)));
             }
             Err(StoreError::Down | StoreError::Refused { .. }) => break,
-            Err(StoreError::Conflict { .. } | StoreError::Ambiguous) => {}
+            Err(StoreError::Conflict { .. } | StoreError::Ambiguous | StoreError::Outdated { .. }) => {}
         }
         match table.get(&mine.key).await {
             Ok(Some(row)) => match classify_row(job, &mine, &row) {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -225,14 +225,14 @@
         }
     }
 
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+    async fn commit(&self, commit: &Commit) -> Result<base::StoreStamp, StoreError> {
         self.check_is_up()?;
         let done = self.mem.lock().unwrap().apply(&StoreOp::Commit(commit.clone()))?;
         if self.lost_commit_answers.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
             return Err(StoreError::Ambiguous);
         }
         match done {
-            StoreRep::Committed { version } => Ok(version),
+            StoreRep::Committed { version } => Ok(base::StoreStamp { era: 0, version }),
             other => panic!("{other:?}"),
         }
     }
--- a/crates/limit/examples/measure/slopes.rs
+++ b/crates/limit/examples/measure/slopes.rs
@@ -107,7 +107,7 @@
         let value = serde_json::to_string(&row).expect("a row is JSON").into();
         let peers = ids[1..].to_vec();
         let conf = customers(active, shares);
-        let stub_areas = StubAreas { peers, conf, row: Row { value, version: 1 }, next_read: None };
+        let stub_areas = StubAreas { peers, conf, row: Row { value, version: 1, era: 0 }, next_read: None };
         let me = LocalDaemon::new(ids[0], ids[0], region(1), "dc", 1);
         let setup = Setup::new(me, 1);
         let limit = RateLimiter::new(&setup);
--- a/crates/relay/src/departures.rs
+++ b/crates/relay/src/departures.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::{DaemonId, event};
+use base::{DaemonId, StoreStamp, event};
 use serde::{Deserialize, Serialize};
 use store::{Check, Commit, Row, StoreError, Table, Write};
 use tokio::sync::{Notify, watch};
@@ -18,6 +18,7 @@
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
 use crate::registration::{Departure, MAX_STORED_DEPARTURES, merge_departures};
+use crate::store_era;
 
 /// End of the key of a row with departures; the key of the daemon's own row precedes it.
 const KEY_SUFFIX: &str = "/departures";
@@ -44,9 +45,11 @@
 /// This daemon's row as the store is known to hold it.
 #[derive(Debug, Default)]
 struct StoredRow {
-    /// Version of the row; 0 while no row is known.
-    version: u64,
+    /// Version of the row and the era in which it is valid; version 0 while no row is known.
+    stamp: StoreStamp,
     departures: Vec<Departure>,
+    /// Whether a row was known until the store was restored.
+    is_forgotten: bool,
 }
 
 /// Who has told this process the departures that earlier processes acknowledged.
@@ -68,7 +71,7 @@
 /// A row whose daemon is not known.
 #[derive(Debug)]
 struct AbandonedRow {
-    version: u64,
+    stamp: StoreStamp,
     delete_at: Instant,
 }
 
@@ -86,15 +89,33 @@
 }
 
 impl DepartureLog {
-    /// Whether the store is known to hold all of `departures`.
-    fn is_stored(&self, departures: &[Departure]) -> bool {
+    /// Whether the store is known to hold all of `departures` in `era`, the latest one.
+    fn is_stored(&self, departures: &[Departure], era: u64) -> bool {
         let row = self.row.borrow();
-        departures.iter().all(|d| row.departures.iter().any(|stored| stored.includes(d)))
+        let is_in_row = |d: &Departure| row.departures.iter().any(|stored| stored.includes(d));
+        departures.is_empty() || (row.stamp.era >= era && departures.iter().all(is_in_row))
     }
 
+    /// Replaces what is known of the row, unless that is of a later era.
     fn replace_row(&self, row: StoredRow) {
-        self.row.replace(row);
-        self.row_replaced.notify_waiters();
+        if row.stamp.era >= self.row_era() {
+            self.row.replace(row);
+            self.row_replaced.notify_waiters();
+        }
+    }
+
+    /// Forgets the row as it was before `era`, which has begun with a restore of the store.
+    fn forget_row_before(&self, era: u64) {
+        if self.row_era() < era {
+            let is_forgotten = self.row.borrow().stamp.version > 0;
+            let stamp = StoreStamp { era, version: 0 };
+            self.replace_row(StoredRow { stamp, departures: Vec::new(), is_forgotten });
+        }
+    }
+
+    /// Era in which the row was last read or written.
+    fn row_era(&self) -> u64 {
+        self.row.borrow().stamp.era
     }
 
     /// Remembers departures for the daemon at `of`, in addition to those that are remembered already.
@@ -116,22 +137,23 @@
     }
 
     /// Records which rows exist, by key and version, whose daemons are not known. A row that changes counts as
-    /// a new one.
-    pub(crate) fn set_abandoned_rows(&self, rows: Vec<(Box<str>, u64)>, now: Instant) {
+    /// a new one, and so does each row after a restore of the store.
+    pub(crate) fn set_abandoned_rows(&self, rows: Vec<(Box<str>, StoreStamp)>, now: Instant) {
         let mut abandoned = self.abandoned.borrow_mut();
         let before = std::mem::take(&mut *abandoned);
-        for (key, version) in rows {
-            let known = before.get(&key).filter(|row| row.version == version);
+        for (key, stamp) in rows {
+            let known = before.get(&key).filter(|row| row.stamp == stamp);
             let delete_at = known.map_or(now + KEEP_TIME, |row| row.delete_at);
-            abandoned.insert(key, AbandonedRow { version, delete_at });
+            abandoned.insert(key, AbandonedRow { stamp, delete_at });
         }
     }
 
-    /// Takes the rows that have been abandoned for so long that nothing of their servers can arrive any more.
-    fn take_expired_rows(&self, now: Instant) -> Vec<Check> {
-        let expired =
-            self.abandoned.borrow_mut().extract_if(|_, row| now >= row.delete_at).collect::<Vec<_>>();
-        expired.into_iter().map(|(key, row)| Check { key, version: row.version }).collect()
+    /// Takes the rows that have been abandoned for so long that nothing of their servers can arrive any more. Rows
+    /// read before `era`, the latest one, are left out: their versions may have been given to other rows.
+    fn take_expired_rows(&self, now: Instant, era: u64) -> Vec<Check> {
+        let mut abandoned = self.abandoned.borrow_mut();
+        let expired = abandoned.extract_if(|_, row| now >= row.delete_at && row.stamp.era >= era);
+        expired.map(|(key, row)| Check { key, version: row.stamp.version }).collect()
     }
 }
 
@@ -150,7 +172,7 @@
 /// [`keep_stored`] then goes on.
 pub async fn store_departures(node: &Node) {
     let log = &node.departures;
-    let is_stored = || log.is_stored(&node.local_server.departures());
+    let is_stored = || log.is_stored(&node.local_server.departures(), node.store_era.latest());
     if is_stored() {
         return;
     }
@@ -169,12 +191,13 @@
     }
 }
 
-/// Writes departures to the store whenever it lacks some, until the daemon ends.
+/// Writes departures to the store whenever it lacks some, until the daemon ends. After a restore of the store, the
+/// row is written again soon, since the copy may lack it.
 pub async fn keep_stored(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
     loop {
         let departures = node.local_server.departures();
-        if node.departures.is_stored(&departures) {
-            node.departures.changed.notified().await;
+        if node.departures.is_stored(&departures, node.store_era.latest()) {
+            wait_until_unsure(&node).await;
             continue;
         }
         gossip::announce_departures(&node, &gossip, &departures);
@@ -189,6 +212,20 @@
     }
 }
 
+/// Waits until the store may lack departures: there is a new one, or the store was restored. After a restore, the
+/// wait goes on for a random time, unless there is a new departure.
+async fn wait_until_unsure(node: &Node) {
+    let log = &node.departures;
+    tokio::select! {
+        () = log.changed.notified() => {}
+        () = node.store_era.later_than(log.row_era()) => {
+            let delay = store_era::rewrite_delay(&mut rand::rng());
+            let _changed = timeout(delay, log.changed.notified()).await;
+            log.forget_row_before(node.store_era.latest());
+        }
+    }
+}
+
 /// Writes this daemon's row. If the store holds another version than the known one, which an earlier process or a
 /// write whose answer was lost has left, that one is read instead.
 async fn write_row(node: &Rc<Node>, table: &dyn Table, departures: Vec<Departure>) -> Result<(), StoreError> {
@@ -196,11 +233,16 @@
     let row = DepartureRow { departures };
     let text =
         serde_json::to_string(&row).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
-    let known = Check { key: key.clone(), version: node.departures.row.borrow().version };
+    node.departures.forget_row_before(node.store_era.latest());
+    let known = Check { key: key.clone(), version: node.departures.row.borrow().stamp.version };
     let commit = Commit { checks: vec![known], writes: vec![Write::put(&key, &text)] };
     match table.commit(&commit).await {
-        Ok(version) => {
-            node.departures.replace_row(StoredRow { version, departures: row.departures });
+        Ok(stamp) => {
+            if node.departures.row.borrow().is_forgotten {
+                event!(Info, RowRewritten, "purpose=departure stamp={stamp}");
+            }
+            let row = StoredRow { stamp, departures: row.departures, is_forgotten: false };
+            node.departures.replace_row(row);
             Ok(())
         }
         Err(StoreError::Conflict { .. }) => {
@@ -220,8 +262,9 @@
         None
     });
     let departures = departures.unwrap_or_default().departures;
-    let version = row.map_or(0, |row| row.version);
-    node.departures.replace_row(StoredRow { version, departures: departures.clone() });
+    let stamp = row.map_or(StoreStamp { era: node.store_era.latest(), version: 0 }, Row::stamp);
+    let row = StoredRow { stamp, departures: departures.clone(), is_forgotten: false };
+    node.departures.replace_row(row);
     restore(node, departures);
 }
 
@@ -265,7 +308,7 @@
 
 /// Deletes rows whose daemons have been gone for long.
 pub(crate) async fn delete_expired_rows(node: &Node, table: &dyn Table) {
-    for check in node.departures.take_expired_rows(Instant::now()) {
+    for check in node.departures.take_expired_rows(Instant::now(), node.store_era.latest()) {
         let key = check.key.clone();
         let commit = Commit { checks: vec![check], writes: vec![Write::delete(&key)] };
         if let Err(e) = table.commit(&commit).await {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -6,18 +6,19 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use base::{DaemonId, event};
+use base::{DaemonId, StoreStamp, event};
 use derive_more::{Display, Error, From};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use store::{Check, Commit, Row, StoreError, Table, Write};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::datagram::{Incarnation, PeerInfo, RemovedPeer};
 use crate::departures;
 use crate::gossip::{self, Gossip};
 use crate::node::Node;
 use crate::registration::Departure;
+use crate::store_era;
 
 /// Prefix of the rows' keys; the daemon's address follows.
 const KEY_PREFIX: &str = "daemon/";
@@ -84,7 +85,8 @@
     format!("{KEY_PREFIX}{addr}").into()
 }
 
-/// Reads the directory, adds this daemon's row if it is missing, and reads again at regular intervals.
+/// Reads the directory, adds this daemon's row if it is missing, and reads again at regular intervals. After a
+/// restore of the store, the row is written again soon if the copy lacked it.
 ///
 /// A daemon that restarts on its address finds its row and needs one call only. A new daemon reads again
 /// after it has written its row: of two daemons that start together, at least one finds the other.
@@ -95,37 +97,85 @@
     } else {
         read_with_retry(&node, &gossip, &*table).await
     };
+    let mut own_row = found.own_row;
     if !found.has_own_row {
-        let mut backoff = Backoff::default();
-        let mut replaced = found.own_row_version;
-        while let Err(e) = write_own_row(&node, &*table, replaced).await {
-            event!(Warn, StoreDown, "purpose=directory error={e}");
-            match e {
-                // A write whose answer was lost has taken effect, or an earlier process has left its row.
-                StoreError::Conflict { present, .. } => replaced = present,
-                _ => backoff.wait().await,
-            }
-        }
+        own_row = write_with_retry(&node, &*table, found.own_row.version).await;
         sleep(READ_DELAY_AFTER_WRITE).await;
         read_with_retry(&node, &gossip, &*table).await;
     }
     loop {
         let is_reader = node.peers.borrow().rank_in_centre(Instant::now()) < FREQUENT_READERS;
         let interval = if is_reader { REREAD_INTERVAL } else { RARE_REREAD_INTERVAL };
-        sleep(interval.mul_f64(rand::rng().random_range(0.8..1.2))).await;
+        let reread_delay = interval.mul_f64(rand::rng().random_range(0.8..1.2));
+        if timeout(reread_delay, node.store_era.later_than(own_row.era)).await.is_ok() {
+            if node.is_stopping() {
+                // The daemon may already have left the directory, and its next process reads it.
+                return;
+            }
+            sleep(store_era::rewrite_delay(&mut rand::rng())).await;
+            own_row = rewrite_own_row(&node, &*table).await;
+            continue;
+        }
         let found = read_with_retry(&node, &gossip, &*table).await;
         gossip::forward_peer_info(&node, &gossip, &found.new_peers);
         if node.peers.borrow().rank_in_centre(Instant::now()) == 0 {
             departures::delete_expired_rows(&node, &*table).await;
         }
-        if !found.has_own_row
-            && let Err(e) = write_own_row(&node, &*table, found.own_row_version).await
-        {
-            event!(Warn, StoreDown, "purpose=directory error={e}");
+        if found.has_own_row {
+            own_row = found.own_row;
+            continue;
+        }
+        match write_own_row(&node, &*table, found.own_row.version).await {
+            Ok(written) => own_row = written,
+            Err(e) => event!(Warn, StoreDown, "purpose=directory error={e}"),
         }
     }
 }
 
+/// Writes this daemon's row in place of the version `replaced`, with increasing delays until that succeeds.
+async fn write_with_retry(node: &Node, table: &dyn Table, mut replaced: u64) -> StoreStamp {
+    let mut backoff = Backoff::default();
+    loop {
+        match write_own_row(node, table, replaced).await {
+            Ok(written) => return written,
+            Err(e) => {
+                event!(Warn, StoreDown, "purpose=directory error={e}");
+                match e {
+                    // A write whose answer was lost has taken effect, or an earlier process has left its row.
+                    StoreError::Conflict { present, .. } => replaced = present,
+                    _ => backoff.wait().await,
+                }
+            }
+        }
+    }
+}
+
+/// Writes this daemon's row again if the restored store lacks it, with increasing delays until the store answers.
+/// A copy holds most rows, so reading first costs one call for most daemons.
+async fn rewrite_own_row(node: &Node, table: &dyn Table) -> StoreStamp {
+    let key = node.directory_key();
+    let mut backoff = Backoff::default();
+    let present = loop {
+        match table.get(&key).await {
+            Ok(present) => break present,
+            Err(e) => {
+                event!(Warn, StoreDown, "purpose=directory error={e}");
+                backoff.wait().await;
+            }
+        }
+    };
+    let present = present.as_ref();
+    let decoded = present.and_then(|row| decode_row(&key, &row.value, latest_start()).ok().zip(Some(row)));
+    if let Some((DirectoryRow { peer_info, .. }, row)) = decoded
+        && describes_own_place(node, &peer_info)
+    {
+        return row.stamp();
+    }
+    let written = write_with_retry(node, table, present.map_or(0, |row| row.version)).await;
+    event!(Info, RowRewritten, "purpose=directory stamp={written}");
+    written
+}
+
 /// Removes daemons of this data centre that have been silent for too long. Only the daemon of rank 0 does so.
 pub async fn remove_expired_peers(node: Rc<Node>, gossip: Rc<Gossip>, table: Rc<dyn Table>) {
     loop {
@@ -153,7 +203,7 @@
     node.peers.borrow_mut().remove_peer(removed);
     node.update_rate_shares();
     gossip::announce_removal(node, gossip, removed);
-    if let Err(e) = delete_row(table, removed).await {
+    if let Err(e) = delete_row(node, table, removed).await {
         // The row stays. Daemons that read it later add the removed one to their tables again, and it is
         // removed once more after another period of silence.
         event!(Warn, StoreDown, "purpose=directory daemon={addr} error={e}");
@@ -161,19 +211,21 @@
 }
 
 /// Deletes the row of a removed daemon, unless a later process has written it. A deletion that the store carries out
-/// late must not delete the row of a process that has started meanwhile.
-async fn delete_row(table: &dyn Table, removed: RemovedPeer) -> Result<(), StoreError> {
+/// late must not delete the row of a process that has started meanwhile, and a version of an earlier era may name
+/// such a row.
+async fn delete_row(node: &Node, table: &dyn Table, removed: RemovedPeer) -> Result<(), StoreError> {
     let key = row_key(&removed.addr);
     let Some(row) = table.get(&key).await? else {
         return Ok(());
     };
     let decoded = serde_json::from_str::<DirectoryRow>(&row.value);
-    if decoded.is_ok_and(|found| found.peer_info.incarnation > removed.incarnation) {
+    let is_later = decoded.is_ok_and(|found| found.peer_info.incarnation > removed.incarnation);
+    if is_later || row.era < node.store_era.latest() {
         return Ok(());
     }
     let present = Check { key: key.clone(), version: row.version };
     let commit = Commit { checks: vec![present], writes: vec![Write::delete(&key)] };
-    table.commit(&commit).await.map(|_version| ())
+    table.commit(&commit).await.map(|_stamp| ())
 }
 
 /// Reads the directory, with increasing delays until that succeeds, and then introduces this daemon to those
@@ -220,8 +272,8 @@
     new_peers: Vec<PeerInfo>,
     /// Whether this daemon's row exists and names its present place and service.
     has_own_row: bool,
-    /// Version of this daemon's row; 0 if it doesn't exist.
-    own_row_version: u64,
+    /// Version of this daemon's row and the era of the answer; version 0 if the row doesn't exist.
+    own_row: StoreStamp,
 }
 
 async fn introduce_self(node: &Node, gossip: &Gossip) {
@@ -232,14 +284,20 @@
 }
 
 /// Writes this daemon's row in place of the version `replaced`, which an earlier process may have left.
-async fn write_own_row(node: &Node, table: &dyn Table, replaced: u64) -> Result<(), StoreError> {
+async fn write_own_row(node: &Node, table: &dyn Table, replaced: u64) -> Result<StoreStamp, StoreError> {
     let row = DirectoryRow { peer_info: node.peer_info(), departures: Vec::new() };
     let text =
         serde_json::to_string(&row).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
     let key = node.directory_key();
     let present = Check { key: key.clone(), version: replaced };
     let commit = Commit { checks: vec![present], writes: vec![Write::put(&key, &text)] };
-    table.commit(&commit).await.map(|_version| ())
+    table.commit(&commit).await
+}
+
+/// Whether the row names the present place and service of this daemon.
+fn describes_own_place(node: &Node, row: &PeerInfo) -> bool {
+    let own = node.peer_info();
+    row.place == own.place && row.service == own.service
 }
 
 /// Reads all rows and adds their daemons to the table of peers. The first read also restores departures from
@@ -256,8 +314,8 @@
         match decode_row(&key, &row.value, latest_start) {
             Ok(DirectoryRow { peer_info, departures }) if peer_info.addr == own.addr => {
                 node.supersede(peer_info.incarnation);
-                found.own_row_version = row.version;
-                found.has_own_row = peer_info.place == own.place && peer_info.service == own.service;
+                found.own_row = row.stamp();
+                found.has_own_row = describes_own_place(node, &peer_info);
                 departures::restore(node, departures);
             }
             Ok(DirectoryRow { peer_info, .. }) => {
@@ -289,7 +347,7 @@
     let is_abandoned =
         |key: &str| !is_own(key) && departures::daemon_key(key).is_none_or(|d| !members.contains(d));
     let abandoned = rows.iter().filter(|(key, _)| is_abandoned(key));
-    node.departures.set_abandoned_rows(abandoned.map(|(key, row)| (key.clone(), row.version)).collect(), now);
+    node.departures.set_abandoned_rows(abandoned.map(|(key, row)| (key.clone(), row.stamp())).collect(), now);
 }
 
 /// Latest start that a process can have by this instance's clock.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`handoff`]). There the request waits for a slot and runs ([`local_server`], [`slot`], [`pool`]).
 //!
 //! Daemons find each other through rows of the store ([`directory`]), in which they also keep the departures of
-//! their servers ([`departures`]). Those of one data centre exchange their
+//! their servers ([`departures`]); [`store_era`] tells when the store has lost such rows. Those of one data centre exchange their
 //! status over UDP ([`gossip`], [`peers`]), and data centres exchange digests of it ([`digest`]).
 //! [`config_refresh`] and [`freshness`] keep the configuration current and track how recently it was proven to
 //! be the newest one; [`config_news`] is what other daemons tell of it. All state of a daemon is a
@@ -67,4 +67,5 @@
 mod shared_stream;
 pub mod slot;
 pub mod socket;
+pub mod store_era;
 mod store_watch;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,10 @@
     pub config_delay_seconds: Histogram,
     /// Queries of the store for a newer configuration, by outcome.
     pub config_queries: IntCounterVec,
+    /// Restores of the store of which this process has learned.
+    pub store_restores: IntCounter,
+    /// Answers of the store that were refused because they were from before its restore.
+    pub outdated_store_answers: IntCounter,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -96,6 +100,11 @@
                 "Queries of the store for a newer configuration.",
                 "outcome",
             ),
+            store_restores: counter("pomelo_store_restores_total", "Restores of the store."),
+            outdated_store_answers: counter(
+                "pomelo_store_outdated_answers_total",
+                "Answers of the store that were refused because they were from before its restore.",
+            ),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -34,6 +34,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::run_times::RunTimes;
+use crate::store_era::StoreEra;
 
 /// Shortest time between two requests for tokens of the same customer to other data centres.
 const REFILL_INTERVAL: Duration = Duration::from_millis(200);
@@ -115,6 +116,8 @@
     pub(crate) freshness: RefCell<Freshness>,
     /// What other daemons have told of newer configurations.
     pub(crate) config_news: Cell<ConfigNews>,
+    /// Latest era of the store, shared with the clients of the store.
+    pub store_era: Arc<StoreEra>,
     /// Memory for bodies of requests.
     pub(crate) body_memory: Rc<BodyMemory>,
     /// Token buckets that hold this daemon's share of each customer's rate.
@@ -158,6 +161,7 @@
             local_server,
             peers: RefCell::new(peers),
             links: Links::default(),
+            store_era: Arc::new(StoreEra::new(&metrics)),
             metrics,
             hasher,
             snapshot: watch::Sender::new(None),
@@ -235,6 +239,12 @@
         is_newer
     }
 
+    /// Records that another daemon has seen the store's era `era`. If it is later than all eras that this process has
+    /// seen, the rows of this daemon are written again within a second.
+    pub fn hear_of_store_era(&self, era: u64) {
+        self.store_era.hear(era);
+    }
+
     /// Records that a query sent at `asked_at` found no newer configuration in the store than the one in force.
     pub(crate) fn settle_config_news(&self, asked_at: Instant) {
         let mut news = self.config_news.get();
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,12 +9,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::SeqCst;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use base::{Place, Version};
+use base::{Place, StoreStamp, Version};
 use bytes::Bytes;
 use conf::compile::SnapshotParts;
 use conf::{
@@ -221,6 +221,10 @@
 #[derive(Debug, Default)]
 pub struct Rows {
     store: Mutex<MemStore>,
+    /// What [`Rows::restore`] brings back; empty before [`Rows::copy`].
+    copy: Mutex<MemStore>,
+    /// Number of restores.
+    era: AtomicU64,
     /// Whether every call fails.
     pub is_down: AtomicBool,
     /// Whether transactions take effect, but their answers are lost.
@@ -250,6 +254,23 @@
         Self { is_down: AtomicBool::new(true), ..Self::default() }
     }
 
+    /// Makes the copy from which the store may be restored.
+    pub fn copy(&self) {
+        let rows = self.store.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        *self.copy.lock().unwrap_or_else(PoisonError::into_inner) = rows;
+    }
+
+    /// Restores the store from the copy: later writes are lost, and versions are given out again.
+    pub fn restore(&self) {
+        let copy = self.copy.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        *self.store.lock().unwrap_or_else(PoisonError::into_inner) = copy;
+        self.era.fetch_add(1, SeqCst);
+    }
+
+    fn with_era(&self, row: Row) -> Row {
+        Row { era: self.era.load(SeqCst), ..row }
+    }
+
     /// Whether a row holds the text.
     pub fn contain(&self, text: &str) -> bool {
         let rows = self.store.lock().unwrap_or_else(PoisonError::into_inner);
@@ -272,23 +293,25 @@
 impl Table for Rows {
     async fn get(&self, key: &str) -> Result<Option<Row>, StoreError> {
         match self.apply(&StoreOp::Get { key: key.into() })? {
-            StoreRep::Row(row) => Ok(row),
+            StoreRep::Row(row) => Ok(row.map(|row| self.with_era(row))),
             _ => Err(StoreError::Down),
         }
     }
 
     async fn range(&self, prefix: &str) -> Result<Vec<(Box<str>, Row)>, StoreError> {
         match self.apply(&StoreOp::Range { prefix: prefix.into() })? {
-            StoreRep::Rows(rows) => Ok(rows),
+            StoreRep::Rows(rows) => {
+                Ok(rows.into_iter().map(|(key, row)| (key, self.with_era(row))).collect())
+            }
             _ => Err(StoreError::Down),
         }
     }
 
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+    async fn commit(&self, commit: &Commit) -> Result<StoreStamp, StoreError> {
         self.commits.fetch_add(1, SeqCst);
         match self.apply(&StoreOp::Commit(commit.clone()))? {
             StoreRep::Committed { .. } if self.loses_answers.load(SeqCst) => Err(StoreError::Ambiguous),
-            StoreRep::Committed { version } => Ok(version),
+            StoreRep::Committed { version } => Ok(StoreStamp { era: self.era.load(SeqCst), version }),
             _ => Err(StoreError::Down),
         }
     }
--- a/crates/relay/tests/late_writes.rs
+++ b/crates/relay/tests/late_writes.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use async_trait::async_trait;
+use base::StoreStamp;
 use common::{Act, Daemon, Rows, conf, eventually, fleet, on_one_thread};
 use relay::datagram::RemovedPeer;
 use relay::directory::{maintain_directory, remove_daemon};
@@ -43,7 +44,7 @@
         self.rows.range(prefix).await
     }
 
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+    async fn commit(&self, commit: &Commit) -> Result<StoreStamp, StoreError> {
         self.late().push(commit.clone());
         Err(StoreError::Ambiguous)
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use base::StoreStamp;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, StatusCode};
@@ -119,11 +120,11 @@
         }
     }
 
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError> {
+    async fn commit(&self, commit: &Commit) -> Result<StoreStamp, StoreError> {
         let body =
             serde_json::to_vec(commit).map_err(|e| StoreError::Refused { problem: e.to_string().into() })?;
         match self.send_request(Method::POST, "/commit", body.into()).await? {
-            (StatusCode::OK, body) => decode_json(&body),
+            (StatusCode::OK, body) => decode_json(&body).map(|version| StoreStamp { era: 0, version }),
             (status, body) => Err(error_from_response(status, &body)),
         }
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod op;
 
 use async_trait::async_trait;
+use base::StoreStamp;
 
 pub use client::HttpStore;
 pub use mem::MemStore;
@@ -29,8 +30,8 @@
     async fn get(&self, key: &str) -> Result<Option<Row>, StoreError>;
     /// Reads the rows whose keys start with `prefix`, in key order.
     async fn range(&self, prefix: &str) -> Result<Vec<(Box<str>, Row)>, StoreError>;
-    /// Checks and writes several rows in one transaction; returns its version.
-    async fn commit(&self, commit: &Commit) -> Result<u64, StoreError>;
+    /// Checks and writes several rows in one transaction; returns its version and the era.
+    async fn commit(&self, commit: &Commit) -> Result<StoreStamp, StoreError>;
 }
 
 /// The object store.
@@ -53,7 +54,9 @@
     match op {
         StoreOp::Get { key } => store.get(key).await.map(StoreRep::Row),
         StoreOp::Range { prefix } => store.range(prefix).await.map(StoreRep::Rows),
-        StoreOp::Commit(commit) => store.commit(commit).await.map(|version| StoreRep::Committed { version }),
+        StoreOp::Commit(commit) => {
+            store.commit(commit).await.map(|stamp| StoreRep::Committed { version: stamp.version })
+        }
         StoreOp::GetObject { name } => store.get_object(name).await.map(StoreRep::Object),
         StoreOp::PutObject { name, bytes } => store.put_object(name, bytes).await.map(|()| StoreRep::Stored),
     }
--- a/crates/store/src/mem.rs
+++ b/crates/store/src/mem.rs
@@ -49,7 +49,7 @@
         for write in &commit.writes {
             match &write.value {
                 Some(value) => {
-                    let row = Row { value: value.clone(), version: self.version };
+                    let row = Row { value: value.clone(), version: self.version, era: 0 };
                     self.rows.insert(write.key.clone(), row);
                 }
                 None => {
--- a/crates/store/src/op.rs
+++ b/crates/store/src/op.rs
@@ -1,5 +1,6 @@
 //! Operations on the store, their results and errors.
 
+use base::StoreStamp;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +11,16 @@
     pub value: Box<str>,
     /// Version of the transaction that last wrote the row. Versions grow over the whole table.
     pub version: u64,
+    /// Era of the answer from which the row was read; 0 from a store without eras.
+    #[serde(default)]
+    pub era: u64,
+}
+
+impl Row {
+    /// Version of the row, with the era in which it is valid.
+    pub fn stamp(&self) -> StoreStamp {
+        StoreStamp { era: self.era, version: self.version }
+    }
 }
 
 /// A condition of a transaction.
@@ -115,6 +126,14 @@
         /// Present version of the row; 0: it does not exist.
         present: u64,
     },
+    /// The answer is from before the store was restored: a write may be lost, a read may be outdated.
+    #[display("the store's answer is of era {era}, but era {seen} has been seen; read again")]
+    Outdated {
+        /// Era of the answer.
+        era: u64,
+        /// Latest era seen.
+        seen: u64,
+    },
     /// The store refused the operation.
     #[display("store refused the operation: {problem}; check versions of daemon and platform")]
     Refused {
--- a/crates/sync/src/advance.rs
+++ b/crates/sync/src/advance.rs
@@ -369,7 +369,7 @@
             active.had_conflict = true;
             active.enter_stage(cx, Stage::ResolveOutcome(prepared));
         }
-        StoreError::Ambiguous => {
+        StoreError::Ambiguous | StoreError::Outdated { .. } => {
             event!(
                 Warn,
                 StoreAmbiguous,
