--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -43,6 +43,10 @@
     pub config_queries: IntCounterVec,
     /// Data centres to be evacuated, as this daemon knows it.
     pub evacuated_centres: IntGauge,
+    /// Restores of the store of which this process has learned.
+    pub store_restores: IntCounter,
+    /// Answers of the store that were refused because they were from before its restore.
+    pub outdated_store_answers: IntCounter,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -102,6 +106,11 @@
                 "outcome",
             ),
             evacuated_centres,
+            store_restores: counter("pomelo_store_restores_total", "Restores of the store."),
+            outdated_store_answers: counter(
+                "pomelo_store_outdated_answers_total",
+                "Answers of the store that were refused because they were from before its restore.",
+            ),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
