Bound connections, unread answers and their memory

Causes: no bound on connections or on buffered answers, no end for an answer that nobody reads, slots of servers held by such answers. Change: ConnectionLimit closes the connection whose end harms least; buffered answers draw on the memory of bodies and are streamed when that is short; an answer without progress for 10 s ends, and for 2 s when memory or slots are short.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -20,7 +20,8 @@
 use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
-use crate::body::{Body, BufferError, MAX_BUFFERED_BYTES, buffer_body};
+use crate::body::{Body, BufferError, MAX_BUFFERED_BYTES};
+use crate::body_memory::{ReservedMemory, buffer_in_memory};
 use crate::digest::RelayedReport;
 use crate::exchange::OVERDUE_FACTOR;
 use crate::handoff::{
@@ -145,8 +146,8 @@
             return AttemptOutcome::Answered(Box::new(Response::from_parts(parts, body)));
         }
         // A request whose answer breaks off can run elsewhere, and those behind it on the connection go on.
-        match buffer_body(body, MAX_BUFFERED_BYTES).await {
-            Ok(bytes) => whole_answer(parts, bytes),
+        match self.buffer_answer(body).await {
+            Ok((bytes, memory)) => whole_answer(parts, bytes, memory),
             Err(e) => self.broken_answer(&e),
         }
     }
@@ -215,10 +216,10 @@
             let rep = Response::from_parts(parts, Body::streamed(body, None, self.answer_until()));
             return AttemptOutcome::Answered(Box::new(rep));
         }
-        match buffer_body(body, MAX_BUFFERED_BYTES).await {
-            Ok(bytes) => {
+        match self.buffer_answer(body).await {
+            Ok((bytes, memory)) => {
                 self.record_response_size(bytes.len());
-                whole_answer(parts, bytes)
+                whole_answer(parts, bytes, memory)
             }
             Err(e) => self.broken_answer(&e),
         }
@@ -230,7 +231,25 @@
         if is_too_large {
             self.node.streamed_routes.borrow_mut().insert(self.handoff.route_hash);
         }
-        is_too_large
+        is_too_large || !self.has_memory_for(body)
+    }
+
+    /// Whether there is memory to buffer an answer of stated length. If there is none, the memory of an answer that its
+    /// caller doesn't read is freed for the next one.
+    fn has_memory_for(&self, body: &impl HttpBody) -> bool {
+        let bytes = body.size_hint().upper().unwrap_or(0);
+        let has_memory = bytes <= self.node.body_memory.free() as u64;
+        if !has_memory {
+            self.node.connections.evict_stalled(Instant::now());
+        }
+        has_memory
+    }
+
+    async fn buffer_answer<B>(&self, body: B) -> Result<(Bytes, ReservedMemory), BufferError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        buffer_in_memory(body, MAX_BUFFERED_BYTES, &self.node.body_memory).await
     }
 
     fn broken_answer(&self, e: &BufferError) -> AttemptOutcome {
@@ -246,7 +265,7 @@
 }
 
 /// An answer whose body has been buffered.
-fn whole_answer(mut parts: Parts, bytes: Bytes) -> AttemptOutcome {
+fn whole_answer(mut parts: Parts, bytes: Bytes, memory: ReservedMemory) -> AttemptOutcome {
     parts.headers.remove(CONTENT_LENGTH);
-    AttemptOutcome::Answered(Box::new(Response::from_parts(parts, Body::whole(bytes))))
+    AttemptOutcome::Answered(Box::new(Response::from_parts(parts, Body::whole_in(bytes, memory))))
 }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -254,6 +254,8 @@
                 }
                 if reason == DeclineReason::Busy {
                     self.free_in = Some(self.free_in.map_or(free_in, |known| known.min(free_in)));
+                    // An answer that its caller doesn't read holds the slot of its server.
+                    self.node.connections.evict_stalled(Instant::now());
                 }
                 if reason.reached_server() {
                     self.servers_reached += 1;
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -13,6 +13,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep_until;
 
+use crate::body_memory::ReservedMemory;
 use crate::slot::RunningRequest;
 
 /// Stated length above which an answer is streamed by the daemon beside the server. That daemon buffers any
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 pub enum Body {
     /// Complete in memory.
-    Whole(Full<Bytes>),
+    Whole(WholeBody),
     /// Streamed while it arrives.
     Streamed(Streamed),
 }
@@ -48,7 +49,20 @@
 impl Body {
     /// Creates a body of these bytes.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Full::new(bytes.into()))
+        Self::Whole(WholeBody { full: Full::new(bytes.into()), memory: None })
+    }
+
+    /// Creates a body of these bytes, for which `memory` stays reserved until the body is sent or dropped.
+    pub(crate) fn whole_in(bytes: Bytes, memory: ReservedMemory) -> Self {
+        Self::Whole(WholeBody { full: Full::new(bytes), memory: Some(Rc::new(memory)) })
+    }
+
+    /// Memory that is reserved for the body.
+    pub(crate) fn memory(&self) -> Option<Rc<ReservedMemory>> {
+        match self {
+            Body::Whole(whole) => whole.memory.clone(),
+            Body::Streamed(_) => None,
+        }
     }
 
     /// Creates a body that is streamed until `until` at the latest. `run`, the request that it answers, ends
@@ -58,6 +72,14 @@
     }
 }
 
+/// A body that is complete in memory.
+#[derive(Debug)]
+pub struct WholeBody {
+    full: Full<Bytes>,
+    /// Memory that is reserved for `full`, if it is counted.
+    memory: Option<Rc<ReservedMemory>>,
+}
+
 /// A body that is streamed from a server or another daemon.
 #[derive(Debug)]
 pub struct Streamed {
@@ -143,14 +165,14 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
-            Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Body::Whole(whole) => Pin::new(&mut whole.full).poll_frame(cx).map_err(|never| match never {}),
             Body::Streamed(streamed) => streamed.source.borrow_mut().poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Body::Whole(full) => full.is_end_stream(),
+            Body::Whole(whole) => whole.full.is_end_stream(),
             Body::Streamed(streamed) => {
                 streamed.source.borrow().incoming.as_ref().is_some_and(Incoming::is_end_stream)
             }
@@ -159,7 +181,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Body::Whole(full) => full.size_hint(),
+            Body::Whole(whole) => whole.full.size_hint(),
             Body::Streamed(streamed) => {
                 streamed.source.borrow().incoming.as_ref().map(Incoming::size_hint).unwrap_or_default()
             }
--- a/crates/relay/src/body_memory.rs
+++ b/crates/relay/src/body_memory.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory that bodies of requests take, over all requests of a daemon.
+//! Bounds the memory that bodies of requests and buffered answers take, over all requests of a daemon.
 //!
 //! Callers may send many large bodies at once, each within the operators' limit. A daemon over the memory of its
 //! instance is killed, with all requests that it serves; so a body that doesn't fit is refused instead.
@@ -58,12 +58,12 @@
     }
 }
 
-/// Reads the whole body of a request, in memory that stays reserved as long as the second result is kept. A body
+/// Reads the whole body of a request or an answer, in memory that stays reserved as long as the second result is kept. A body
 /// of stated length is refused before any of it is read.
 ///
 /// # Errors
 /// Fails if the body breaks off, is larger than `limit` bytes, or doesn't fit into the memory that is free.
-pub async fn buffer_request_body<B>(
+pub async fn buffer_in_memory<B>(
     body: B,
     limit: usize,
     memory: &Rc<BodyMemory>,
--- a/crates/relay/src/closing.rs
+++ b/crates/relay/src/closing.rs
@@ -1,5 +1,6 @@
 //! Closes callers' connections without losing answers that are still being sent.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use base::event;
@@ -8,6 +9,7 @@
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use crate::connection_limit::{OpenConnection, Phase};
 use crate::delivery::Delivery;
 use crate::pipeline::Pipeline;
 use crate::shared_stream::SharedStream;
@@ -62,14 +64,20 @@
 /// `MAX_LINGER`. This function returns earlier, at the latest `LINGER_WAIT` after the last byte of the answer
 /// was written. If no answer can be lost, nothing is read: a caller whose request crosses the close then sees
 /// a reset, and may send the request again.
-pub async fn close_lingering(mut stream: SharedStream, delivery: &Delivery) {
+pub(crate) async fn close_lingering(mut stream: SharedStream, delivery: &Delivery, open: Rc<OpenConnection>) {
     let now = Instant::now();
+    open.set_phase(Phase::Waiting, now);
     let Some(written_at) = delivery.last_written_at().filter(|at| now < *at + DELIVERY_TIME) else { return };
     if let Err(e) = stream.shutdown().await {
         log::debug!("caller's connection failed while it was being closed: {e}");
         return;
     }
-    let reading = spawn_local(discard_input(stream, now + MAX_LINGER));
+    let reading = spawn_local(async move {
+        tokio::select! {
+            () = discard_input(stream, now + MAX_LINGER) => {}
+            () = open.evicted() => {}
+        }
+    });
     if let Ok(Err(e)) = timeout_at((written_at + LINGER_WAIT).into(), reading).await {
         log::error!("task that reads a half-closed connection failed: {e}");
     }
--- /dev/null
+++ b/crates/relay/src/connection_limit.rs
@@ -0,0 +1,173 @@
+//! Bounds the connections that callers hold open, so that no crowd uses up the descriptors or memory of a daemon.
+//!
+//! At the limit a new connection takes the place of the one that can be closed with the least harm: one without a
+//! request, then one whose request has not arrived whole, then one whose caller doesn't read its answer. No request
+//! that was passed on is lost so, except for a caller that doesn't read.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use tokio_util::sync::CancellationToken;
+
+use crate::delivery::Delivery;
+
+/// Time without progress of an answer after which its connection may be closed to make room.
+const STALLED_AFTER: Duration = Duration::from_secs(2);
+
+/// What a connection holds at present, in the order in which connections are closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// No request, or part of a head.
+    Waiting,
+    /// A request whose body has not arrived whole.
+    Receiving,
+    /// A request that is served, or its answer.
+    Serving,
+}
+
+/// State of one connection.
+#[derive(Debug)]
+struct Connection {
+    phase: Cell<Phase>,
+    /// Start of the phase.
+    since: Cell<Instant>,
+    delivery: Rc<Delivery>,
+    evicted: CancellationToken,
+}
+
+impl Connection {
+    /// Sort key of the connections that may be closed; `None` if this one may not.
+    fn eviction_order(&self, now: Instant) -> Option<(Phase, Instant)> {
+        if self.phase.get() < Phase::Serving {
+            return Some((self.phase.get(), self.since.get()));
+        }
+        let stalled_since = self.delivery.stalled_since()?;
+        (now.saturating_duration_since(stalled_since) >= STALLED_AFTER)
+            .then_some((Phase::Serving, stalled_since))
+    }
+}
+
+/// All open connections at one or several addresses.
+#[derive(Debug)]
+pub struct ConnectionLimit {
+    max: usize,
+    /// By number, in the order of their opening. At most `max`.
+    open: RefCell<BTreeMap<u64, Rc<Connection>>>,
+    last_number: Cell<u64>,
+}
+
+impl ConnectionLimit {
+    /// Allows `max` connections at a time.
+    pub fn new(max: usize) -> Rc<Self> {
+        Rc::new(Self { max, open: RefCell::default(), last_number: Cell::new(0) })
+    }
+
+    /// Counts a new connection, and closes another one if there is no room. `None` if none may be closed: the new one
+    /// must be.
+    pub fn admit(self: &Rc<Self>, delivery: Rc<Delivery>, now: Instant) -> Option<OpenConnection> {
+        if self.open.borrow().len() >= self.max && !self.evict(Phase::Waiting, now) {
+            return None;
+        }
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let connection = Rc::new(Connection {
+            phase: Cell::new(Phase::Waiting),
+            since: Cell::new(now),
+            delivery,
+            evicted: CancellationToken::new(),
+        });
+        self.open.borrow_mut().insert(number, Rc::clone(&connection));
+        Some(OpenConnection { limit: Rc::clone(self), number, connection })
+    }
+
+    /// Closes the connection whose answer has been unread for the longest time, because memory is short; false if
+    /// there is none.
+    pub fn evict_stalled(&self, now: Instant) -> bool {
+        self.evict(Phase::Serving, now)
+    }
+
+    /// Closes the first connection in the order of eviction that is at least in the phase `from`.
+    fn evict(&self, from: Phase, now: Instant) -> bool {
+        let mut open = self.open.borrow_mut();
+        let orders = open.iter().filter_map(|(number, c)| Some((c.eviction_order(now)?, *number)));
+        let first = orders.filter(|((phase, _), _)| *phase >= from).min();
+        let Some(connection) = first.and_then(|(_, number)| open.remove(&number)) else {
+            return false;
+        };
+        connection.evicted.cancel();
+        true
+    }
+}
+
+/// A connection that counts as open until dropped.
+#[derive(Debug)]
+pub struct OpenConnection {
+    limit: Rc<ConnectionLimit>,
+    number: u64,
+    connection: Rc<Connection>,
+}
+
+impl OpenConnection {
+    /// Records what the connection holds from now on.
+    pub fn set_phase(&self, phase: Phase, now: Instant) {
+        self.connection.phase.set(phase);
+        self.connection.since.set(now);
+    }
+
+    /// Waits until the connection must be closed.
+    pub async fn evicted(&self) {
+        self.connection.evicted.cancelled().await;
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.limit.open.borrow_mut().remove(&self.number);
+    }
+}
+
+/// Body of a request, which records on its connection when it has arrived whole.
+#[derive(Debug)]
+pub struct ReceivedBody<B> {
+    body: B,
+    connection: Rc<OpenConnection>,
+}
+
+impl<B: HttpBody> ReceivedBody<B> {
+    /// Records the arrival of `body` on `connection`.
+    pub fn new(body: B, connection: Rc<OpenConnection>) -> Self {
+        let phase = if body.is_end_stream() { Phase::Serving } else { Phase::Receiving };
+        connection.set_phase(phase, Instant::now());
+        Self { body, connection }
+    }
+}
+
+impl<B: HttpBody<Data = Bytes> + Unpin> HttpBody for ReceivedBody<B> {
+    type Data = Bytes;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.connection.set_phase(Phase::Serving, Instant::now());
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -15,6 +15,8 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::body_memory::ReservedMemory;
+
 /// What was missing of an answer when its connection ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum MissingPart {
@@ -49,16 +51,30 @@
     bytes_written: Cell<u64>,
     /// When bytes were last written.
     written_at: Cell<Option<Instant>>,
+    /// Since when the last answer has made no progress, unless it has been sent.
+    stalled_since: Cell<Option<Instant>>,
+    /// Called once the last answer has been sent.
+    #[debug(skip)]
+    on_sent: RefCell<Option<Box<dyn FnOnce()>>>,
+    /// Memory of the last answer, until it has been sent.
+    memory: RefCell<Option<Rc<ReservedMemory>>>,
 }
 
 impl Delivery {
-    /// Records the beginning of an answer. `has_body` is false for the answer to a HEAD request.
-    pub fn begin(&self, answer: LastAnswer, has_body: bool) {
+    /// Records the beginning of an answer, which takes `memory`. `has_body` is false for the answer to a HEAD
+    /// request.
+    pub fn begin(&self, answer: LastAnswer, has_body: bool, memory: Option<Rc<ReservedMemory>>) {
+        self.memory.replace(memory);
         self.is_body_whole.set(!has_body || answer.bytes == Some(0));
         self.last_answer.replace(Some(answer));
         self.bytes_written.set(0);
     }
 
+    /// Sets what is done once the answer that has just begun has been sent.
+    pub fn on_sent(&self, done: impl FnOnce() + 'static) {
+        self.on_sent.replace(Some(Box::new(done)));
+    }
+
     /// The last answer and its missing part; `None` if the answer was sent completely.
     pub fn cut_answer(&self) -> Option<(LastAnswer, MissingPart)> {
         let missing = self.missing_part()?;
@@ -83,13 +99,33 @@
         self.written_at.get()
     }
 
+    /// Since when the caller has not read more of the last answer; `None` if the answer has been sent or has not
+    /// begun.
+    pub fn stalled_since(&self) -> Option<Instant> {
+        self.stalled_since.get()
+    }
+
     /// Bytes written to the socket since the last answer began, head included.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written.get()
     }
 
+    fn record_flush(&self) {
+        self.has_unsent.set(false);
+        self.stalled_since.set(None);
+        if self.is_body_whole.get() {
+            self.memory.take();
+            if let Some(done) = self.on_sent.take() {
+                done();
+            }
+        }
+    }
+
     fn record_write(&self, polled: &Poll<io::Result<usize>>) {
         self.has_unsent.set(true);
+        if self.stalled_since.get().is_none() || polled.is_ready() {
+            self.stalled_since.set(Some(Instant::now()));
+        }
         if let Poll::Ready(Ok(len)) = polled {
             self.bytes_written.set(self.bytes_written.get() + *len as u64);
             self.written_at.set(Some(Instant::now()));
@@ -137,7 +173,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.stream).poll_flush(cx);
         if matches!(polled, Poll::Ready(Ok(()))) {
-            self.delivery.has_unsent.set(false);
+            self.delivery.record_flush();
         }
         polled
     }
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -21,7 +21,7 @@
 
 use crate::attempts::Attempts;
 use crate::body::{Body, BufferError};
-use crate::body_memory::{ReservedMemory, buffer_request_body};
+use crate::body_memory::{ReservedMemory, buffer_in_memory};
 use crate::gossip;
 use crate::node::Node;
 
@@ -201,12 +201,13 @@
         take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
     }
     let max_bytes = conf.limits.max_body_bytes;
-    let body = timeout_at(deadline.into(), buffer_request_body(body, max_bytes, &node.body_memory)).await;
+    let body = timeout_at(deadline.into(), buffer_in_memory(body, max_bytes, &node.body_memory)).await;
     let (body, body_memory) = body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
         BufferError::Broken => Refusal::BadRequest.into(),
         BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
         BufferError::NoMemory => {
             refund_token(node, customer.as_ref());
+            node.connections.evict_stalled(Instant::now());
             RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
         }
     })?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod config_exchange;
 pub mod config_news;
 pub mod config_refresh;
+pub mod connection_limit;
 pub mod daemon;
 pub mod datagram;
 pub mod delivery;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -26,7 +26,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, BufferError, buffer_body};
-use crate::body_memory::buffer_request_body;
+use crate::body_memory::buffer_in_memory;
 use crate::exec::LocalExec;
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
@@ -286,7 +286,7 @@
     let run = async {
         let conf = may_run_here(node, &handoff, &parts)?;
         let max_bytes = conf.limits.max_body_bytes;
-        let body = buffer_request_body(body, max_bytes, &node.body_memory).await;
+        let body = buffer_in_memory(body, max_bytes, &node.body_memory).await;
         let (body, _reserved) = body.map_err(|e| match e {
             BufferError::NoMemory => RunError::declined(DeclineReason::Busy),
             BufferError::Broken | BufferError::TooLarge { .. } => {
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::event;
 use edge::framing::ObservedStream;
@@ -14,11 +14,13 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
 use crate::closing::{close_lingering, wait_until_closable, wait_until_left};
+use crate::connection_limit::{Phase, ReceivedBody};
 use crate::delivery::{Delivery, LastAnswer, TrackedBody, TrackedStream};
 use crate::node::Node;
 use crate::pipeline::Pipeline;
@@ -26,6 +28,8 @@
 
 /// Smallest head size limit that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
+/// Time after which a caller that reads nothing of its answer is disconnected.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay after accepting a connection failed, e.g. because no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -61,6 +65,12 @@
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream, closing: CancellationToken) {
+    let delivery = Rc::new(Delivery::default());
+    let Some(open) = node.connections.admit(Rc::clone(&delivery), Instant::now()) else {
+        node.metrics.connections_closed.with_label_values(&["no-room"]).inc();
+        return;
+    };
+    let open = Rc::new(open);
     let limits = node.conf().map(|c| c.limits).unwrap_or_default();
     let is_ambiguous = Arc::new(AtomicBool::new(false));
     let mut builder = hyper::server::conn::http1::Builder::new();
@@ -70,16 +80,17 @@
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
     let pipeline = Rc::new(Pipeline::new(Rc::clone(&node)));
-    let delivery = Rc::new(Delivery::default());
     let service = service_fn(|req: Request<Incoming>| {
         let (node, pipeline, is_ambiguous) =
             (Rc::clone(&node), Rc::clone(&pipeline), Arc::clone(&is_ambiguous));
-        let delivery = Rc::clone(&delivery);
+        let (delivery, open) = (Rc::clone(&delivery), Rc::clone(&open));
         Box::pin(async move {
             let (id, has_body) = (logged_id(&node, &req), req.method() != Method::HEAD);
+            let req = req.map(|body| ReceivedBody::new(body, Rc::clone(&open)));
             let rep = respond(&node, &pipeline, &is_ambiguous, req).await;
-            let bytes = rep.body().size_hint().exact();
-            delivery.begin(LastAnswer { id, status: rep.status().as_u16(), bytes }, has_body);
+            let (bytes, memory) = (rep.body().size_hint().exact(), rep.body().memory());
+            delivery.begin(LastAnswer { id, status: rep.status().as_u16(), bytes }, has_body, memory);
+            delivery.on_sent(move || open.set_phase(Phase::Waiting, Instant::now()));
             Ok::<_, Infallible>(rep.map(|body| TrackedBody::new(body, delivery)))
         })
     });
@@ -108,11 +119,19 @@
                 Pin::new(&mut conn).graceful_shutdown();
             }
             () = wait_until_left(&socket, &pipeline) => break,
+            () = open.evicted() => {
+                node.metrics.connections_closed.with_label_values(&["no-room"]).inc();
+                return;
+            }
+            () = wait_until_unread(&delivery) => {
+                node.metrics.connections_closed.with_label_values(&["unread"]).inc();
+                return;
+            }
         }
     }
     drop(socket);
     let stream = conn.into_parts().io.into_inner().into_inner().into_inner();
-    close_lingering(stream, &delivery).await;
+    close_lingering(stream, &delivery, open).await;
 }
 
 /// Id of a request for logs; `-` without one.
@@ -139,8 +158,18 @@
     );
 }
 
+/// Waits until the caller has read nothing of its answer for [`UNREAD_TIMEOUT`].
+async fn wait_until_unread(delivery: &Delivery) {
+    loop {
+        sleep(UNREAD_TIMEOUT / 2).await;
+        if delivery.stalled_since().is_some_and(|since| since.elapsed() >= UNREAD_TIMEOUT) {
+            return;
+        }
+    }
+}
+
 /// Whether this is the last request on its connection, according to its `connection` header.
-fn asks_for_close(req: &Request<Incoming>) -> bool {
+fn asks_for_close<B>(req: &Request<B>) -> bool {
     let tokens = req.headers().get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
     let mut tokens = tokens.flat_map(|value| value.split(',')).map(str::trim);
     tokens.any(|token| token.eq_ignore_ascii_case("close"))
@@ -150,7 +179,7 @@
     node: &Node,
     pipeline: &Pipeline,
     is_ambiguous: &AtomicBool,
-    req: Request<Incoming>,
+    req: Request<ReceivedBody<Incoming>>,
 ) -> Response<Body> {
     if asks_for_close(&req) {
         pipeline.set_last();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -32,6 +32,8 @@
     pub repeated_calls: Counter,
     /// Answers that were not sent completely when their connection ended, by what was missing.
     pub answers_cut: IntCounterVec,
+    /// Connections of callers that the daemon closed early, by reason.
+    pub connections_closed: IntCounterVec,
     /// Requests whose callers disconnected before the answer.
     pub cancelled: IntCounter,
     /// Time from receiving a request to the head of its answer.
@@ -94,6 +96,10 @@
             declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
             answers_cut: by_reason("pomelo_answers_cut_total", "Answers that were not sent whole."),
+            connections_closed: by_reason(
+                "pomelo_connections_closed_total",
+                "Connections of callers that the daemon closed early.",
+            ),
             repeated_calls,
             cancelled: counter("pomelo_cancelled_total", "Callers that left before their answer."),
             config_delay_seconds: histogram(
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,6 +22,7 @@
 use crate::clock::BootTime;
 use crate::config_news::ConfigNews;
 use crate::config_refresh::FetchedConfig;
+use crate::connection_limit::ConnectionLimit;
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
 use crate::departures::DepartureLog;
 use crate::digest::{Digest, RelayedReport};
@@ -73,8 +74,10 @@
     /// How far a customer may exceed its rate because daemons divide the rate without asking each other per
     /// request.
     pub rate_tolerance: QuotaTolerance,
-    /// Memory in bytes that bodies of requests may take at a time.
+    /// Memory in bytes that bodies of requests and buffered answers may take at a time.
     pub body_memory: usize,
+    /// Connections that callers may hold open at a time.
+    pub max_caller_connections: usize,
 }
 
 /// State of one daemon.
@@ -123,8 +126,10 @@
     pub(crate) operator_state_changed: Notify,
     /// Latest era of the store, shared with the clients of the store.
     pub store_era: Arc<StoreEra>,
-    /// Memory for bodies of requests.
+    /// Memory for bodies of requests and buffered answers.
     pub(crate) body_memory: Rc<BodyMemory>,
+    /// Connections of callers.
+    pub(crate) connections: Rc<ConnectionLimit>,
     /// Token buckets that hold this daemon's share of each customer's rate.
     pub(crate) token_buckets: RefCell<LocalBuckets>,
     pub(crate) response_sizes: RefCell<ResponseSizes>,
@@ -181,6 +186,7 @@
             operator_state: RefCell::default(),
             operator_state_changed: Notify::new(),
             body_memory: BodyMemory::new(bounds.body_memory),
+            connections: ConnectionLimit::new(bounds.max_caller_connections),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
             streamed_routes: RefCell::default(),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -16,6 +16,8 @@
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest part of an answer that a connection holds while nobody takes it. Heads of answers must fit as well.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Idle time after which a connection is not reused if the server states no idle timeout.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(4);
 /// Longest idle time after which a connection is reused, whatever idle timeout the server states.
@@ -102,7 +104,8 @@
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr)).await;
         let stream = connected.map_err(|_late| std::io::ErrorKind::TimedOut)??;
         socket::set_options(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(std::io::Error::other)?;
         let task = tokio::task::spawn_local(conn).abort_handle();
         Ok(Conn { sender, task, last_used_at: opened_at, idle_until: opened_at + DEFAULT_MAX_IDLE })
