--- a/crates/relay/tests/large_bodies.rs
+++ b/crates/relay/tests/large_bodies.rs
@@ -9,7 +9,7 @@
 use common::{Act, BODY_MEMORY_BYTES, Daemon, conf, fleet, on_one_thread, read_until, request, status};
 use http_body_util::Full;
 use relay::body::BufferError;
-use relay::body_memory::{BodyMemory, buffer_request_body};
+use relay::body_memory::{BodyMemory, buffer_in_memory};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -80,12 +80,12 @@
     on_one_thread(async {
         let memory = BodyMemory::new(1_000);
         let body = || Full::new(Bytes::from(vec![0; 600]));
-        let (bytes, reserved) = buffer_request_body(body(), 1_000, &memory).await.expect("it fits");
+        let (bytes, reserved) = buffer_in_memory(body(), 1_000, &memory).await.expect("it fits");
         assert_eq!(bytes.len(), 600);
-        let refused = buffer_request_body(body(), 1_000, &memory).await;
+        let refused = buffer_in_memory(body(), 1_000, &memory).await;
         assert!(matches!(refused, Err(BufferError::NoMemory)), "{refused:?}");
         drop(reserved);
-        buffer_request_body(body(), 1_000, &memory).await.expect("it fits again");
+        buffer_in_memory(body(), 1_000, &memory).await.expect("it fits again");
         assert_eq!(memory.free(), 1_000);
     });
 }
