Ask what became of hand-offs on silent and broken connections

Cause: requests on a connection between daemons that goes silent end as unknown (502) after 2.5 s, although many never reached a server; so do requests that wait for a slot when their connection closes. Change: hand-offs carry the id of their connection and a number. The caller's daemon asks by datagram about those without an answer for 250 ms; a proof that one has not run becomes a decline (reasons lost and given-up), and the request is placed elsewhere. A connection that lost a hand-off is replaced at once. The server's daemon drops waiting hand-offs that are given up, and those whose connection has ended, before the slots that ended runs free are granted. Repeatable requests on a closed connection are repeated at once as before.

--- a/crates/fate/src/receipts.rs
+++ b/crates/fate/src/receipts.rs
@@ -138,11 +138,13 @@
         true
     }
 
-    /// Records the end of an accepted hand-off. `is_declined` tells that it has not run.
+    /// Records the end of an accepted hand-off. `is_declined` tells that it has not run; one that has not started
+    /// has not run either way.
     pub fn end(&mut self, connection: ConnectionId, number: HandoffNumber, is_declined: bool, now: Instant) {
         let Some(known) = self.connections.get_mut(&connection) else { return };
         known.used_at = now;
-        if known.open.remove(&number).is_some() && is_declined {
+        let stage = known.open.remove(&number);
+        if stage == Some(Stage::Waiting) || (is_declined && stage.is_some()) {
             self.remember_not_run(connection, number, Fate::Declined, now);
         }
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use base::DaemonId;
 use bytes::Bytes;
+use fate::Fate;
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST};
@@ -23,11 +24,12 @@
 use crate::body::{Body, BufferError, MAX_BUFFERED_BYTES, buffer_body};
 use crate::digest::RelayedReport;
 use crate::exchange::OVERDUE_FACTOR;
+use crate::fate_questions::SentHandoff;
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, REPORT_HEADER, RUN_ERROR_HEADER,
-    RunError, ServerReport,
+    Repetition, RunError, ServerReport,
 };
-use crate::links::LinkError;
+use crate::links::{Connection, LinkError};
 use crate::node::Node;
 
 /// Time past the deadline in which an answer is still accepted. The daemon beside the server allows less, so
@@ -152,24 +154,61 @@
     }
 
     async fn hand_off(mut self) -> AttemptOutcome {
-        let to = self.to;
-        let Some(req) = self.link_request() else {
+        let Some(mut req) = self.link_request() else {
             return AttemptOutcome::Failed(RunError::declined(DeclineReason::Unreachable));
         };
         self.record_handoff();
-        match self.node.links.send_request(to, req).await {
+        let peer = self.node.peers.borrow().incarnation(&self.to);
+        let Ok(connection) = self.node.links.connect(self.to, peer).await else {
+            self.node.links.disconnect(&self.to);
+            return self.failed_path(RunError::declined(DeclineReason::Unreachable));
+        };
+        let mut sent = connection.number_handoff();
+        self.handoff.set_number(&sent);
+        handoff::insert_header(req.headers_mut(), &HANDOFF_HEADER, &self.handoff);
+        match self.send(connection, &mut sent, req).await {
             Ok(rep) => self.handle_response(rep).await,
-            Err(e) => {
-                self.node.peers.borrow_mut().record_path_failure(to, Instant::now());
-                self.node.links.disconnect(&to);
-                AttemptOutcome::Failed(match e {
-                    LinkError::NotSent => RunError::declined(DeclineReason::Unreachable),
-                    LinkError::MayHaveRun => RunError::Broken,
-                })
+            Err(outcome) => outcome,
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer, or for a proof that the request has not run.
+    async fn send(
+        &self,
+        mut connection: Connection,
+        sent: &mut SentHandoff,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, AttemptOutcome> {
+        let result = tokio::select! {
+            result = connection.send(req) => result,
+            Some(fate) = sent.proof() => return Err(not_run(fate)),
+        };
+        match result {
+            Ok(rep) => {
+                sent.on_response();
+                Ok(rep)
             }
+            Err(LinkError::NotSent) => Err(self.failed_path(RunError::declined(DeclineReason::Unreachable))),
+            Err(LinkError::MayHaveRun) => Err(self.broken(sent).await),
         }
     }
 
+    /// Ends an attempt whose connection broke. A request that must run at most once waits for a proof that it has
+    /// not run; another one can be repeated earlier.
+    async fn broken(&self, sent: &mut SentHandoff) -> AttemptOutcome {
+        let failed = self.failed_path(RunError::Broken);
+        if self.handoff.repetition == Repetition::Allowed {
+            return failed;
+        }
+        sent.proof().await.map_or(failed, not_run)
+    }
+
+    /// Pauses hand-offs to the daemon after one could not be delivered.
+    fn failed_path(&self, error: RunError) -> AttemptOutcome {
+        self.node.peers.borrow_mut().record_path_failure(self.to, Instant::now());
+        AttemptOutcome::Failed(error)
+    }
+
     /// Counts the hand-off, with its distance and the age of the report by which the daemon was chosen.
     fn record_handoff(&self) {
         let now = Instant::now();
@@ -184,8 +223,8 @@
         peers.record_handoff(self.to, now);
     }
 
-    /// Turns the request into the form that is sent to other daemons: HTTP/2, with the host in the target and
-    /// the [`Handoff`] as a header. Takes `self.req`; `None` without a valid host.
+    /// Turns the request into the form that is sent to other daemons: HTTP/2, with the host in the target. Takes
+    /// `self.req`; `None` without a valid host.
     fn link_request(&mut self) -> Option<Request<Full<Bytes>>> {
         let mut req = std::mem::take(&mut self.req);
         let host = req.headers_mut().remove(HOST)?;
@@ -193,7 +232,6 @@
         let path = req.uri().path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
         *req.uri_mut() = uri.path_and_query(path).build().ok()?;
         *req.version_mut() = hyper::Version::HTTP_2;
-        handoff::insert_header(req.headers_mut(), &HANDOFF_HEADER, &self.handoff);
         Some(req.map(Full::new))
     }
 
@@ -245,6 +283,12 @@
     }
 }
 
+/// A request that has not run and never will.
+fn not_run(fate: Fate) -> AttemptOutcome {
+    let reason = if fate == Fate::NeverCame { DeclineReason::Lost } else { DeclineReason::GivenUp };
+    AttemptOutcome::Failed(RunError::declined(reason))
+}
+
 /// An answer whose body has been buffered.
 fn whole_answer(mut parts: Parts, bytes: Bytes) -> AttemptOutcome {
     parts.headers.remove(CONTENT_LENGTH);
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -368,6 +368,8 @@
             repetition: if self.repeatable { Repetition::Allowed } else { Repetition::Never },
             allow_suspect: self.allow_suspect,
             is_repeat: self.servers_reached > 0 || self.hedged.is_some(),
+            connection: 0,
+            number: 0,
             objective: self.admitted.route.objective,
             objective_left: self.admitted.objective_at.saturating_duration_since(now),
             deadline_left: self.node.answer_deadline(self.admitted.deadline).saturating_duration_since(now),
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::datagram::RemovedPeer;
 use crate::gossip::Gossip;
 use crate::node::Node;
-use crate::{config_refresh, departures, directory, gossip, links, listen};
+use crate::{config_refresh, departures, directory, fate_questions, gossip, links, listen};
 
 /// Time after the stop signal in which the daemon still serves new requests, so that callers can be directed
 /// to another daemon.
@@ -102,6 +102,7 @@
     spawn_local(directory::remove_expired_peers(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
     spawn_local(departures::keep_stored(Rc::clone(&node), Rc::clone(&gossip), Rc::clone(&table)));
     spawn_local(departures::admit_server_when_known(Rc::clone(&node)));
+    spawn_local(fate_questions::ask_about_handoffs(Rc::clone(&node), Rc::clone(&gossip)));
     spawn_local(publish_changes(Rc::clone(&node)));
     stop.cancelled().await;
     stop_gracefully(&node, &gossip, &*table, &connections, &closing).await;
--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -47,6 +47,10 @@
         /// The departures.
         departures: Vec<Departure>,
     },
+    /// Asks what became of hand-offs that the sender has sent to the receiver.
+    FateQuestion(fate::Question),
+    /// Answers a question about hand-offs.
+    FateAnswer(fate::Answer),
 }
 
 impl Datagram {
@@ -59,6 +63,7 @@
             Datagram::TokenRequest(..) | Datagram::TokenGrants(_) => "tokens",
             Datagram::Digest { .. } => "digest",
             Datagram::Departures { .. } => "departures",
+            Datagram::FateQuestion(_) | Datagram::FateAnswer(_) => "fate",
         }
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -18,11 +18,11 @@
 
 use crate::clock::BootTime;
 use crate::datagram::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
-use crate::departures;
 use crate::digest::Digest;
 use crate::node::Node;
 use crate::peers::StatusOutcome;
 use crate::registration::Departure;
+use crate::{departures, fate_questions};
 
 /// Interval at which one daemon sends digests to the other data centres.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -55,7 +55,7 @@
         Self { socket, sent_bytes }
     }
 
-    fn send_datagram(&self, to: DaemonId, datagram: &Datagram) {
+    pub(crate) fn send_datagram(&self, to: DaemonId, datagram: &Datagram) {
         match postcard::to_stdvec(datagram) {
             Ok(bytes) => match self.socket.try_send_to(&bytes, to) {
                 Ok(len) => self.sent_bytes.with_label_values(&[datagram.kind()]).inc_by(len as u64),
@@ -181,6 +181,8 @@
             node.admission_changed.notify_waiters();
         }
         Datagram::Departures { of, departures } => handle_departures(node, from, of, departures, now),
+        Datagram::FateQuestion(question) => fate_questions::answer_question(node, gossip, from, &question),
+        Datagram::FateAnswer(answer) => fate_questions::apply_answer(node, from, &answer),
     }
 }
 
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -8,11 +8,14 @@
 use base::{CustomerId, ServiceId};
 use conf::Priority;
 use derive_more::Display;
+use fate::{ConnectionId, HandoffNumber};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use route::placement::{ServerCondition, ServerLoad};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::fate_questions::SentHandoff;
+
 /// Header that carries a [`Handoff`], set by the daemon that took the request from its caller.
 pub static HANDOFF_HEADER: HeaderName = HeaderName::from_static("x-pomelo-order");
 /// Header that carries a [`RunError`], set by the daemon beside the server.
@@ -26,6 +29,10 @@
 /// daemon that sends the configuration.
 pub static PROOF_AGE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-proof-age");
 
+/// Number of fields of [`Handoff`] that daemons of an older version don't send. Their shortest encoding takes a byte
+/// each.
+const OPTIONAL_HANDOFF_FIELDS: usize = 3;
+
 /// What the daemon beside the server needs to know to run a request. Encoded with postcard, so fields must
 /// keep their order.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -52,9 +59,14 @@
     pub deadline_left: Duration,
     /// Latency objective of the route.
     pub objective: Duration,
-    /// Whether another server may have run the request before. Daemons of an older version don't send it. New
-    /// fields must be added after this one: daemons of an older version ignore trailing bytes.
+    /// Whether another server may have run the request before. Daemons of an older version don't send this
+    /// field and those after it.
     pub is_repeat: bool,
+    /// Connection on which the request is handed off; 0 if its fate can't be asked for.
+    pub connection: ConnectionId,
+    /// Number of the hand-off on its connection. New fields must be added after this one: daemons of an older
+    /// version ignore trailing bytes.
+    pub number: HandoffNumber,
 }
 
 /// Whether a request may run more than once.
@@ -66,6 +78,13 @@
     Allowed,
 }
 
+impl Handoff {
+    /// Numbers the hand-off for the connection on which it is sent.
+    pub(crate) fn set_number(&mut self, sent: &SentHandoff) {
+        (self.connection, self.number) = (sent.connection, sent.number);
+    }
+}
+
 /// Why a request was declined. A declined request has not run and will not run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DeclineReason {
@@ -99,6 +118,12 @@
     /// The server's data centre is being evacuated.
     #[display("evacuated")]
     Evacuated,
+    /// The hand-off never reached the other daemon.
+    #[display("lost")]
+    Lost,
+    /// The hand-off had not started when its caller's daemon asked what became of it.
+    #[display("given-up")]
+    GivenUp,
 }
 
 impl DeclineReason {
@@ -106,6 +131,11 @@
     pub fn reached_server(self) -> bool {
         self == DeclineReason::Shed
     }
+
+    /// Whether the decline was learned by asking what became of the hand-off.
+    pub fn is_proof(self) -> bool {
+        matches!(self, DeclineReason::Lost | DeclineReason::GivenUp)
+    }
 }
 
 /// Why a request has no answer of a server.
@@ -195,8 +225,8 @@
 /// Removes the header with a [`Handoff`] and decodes it; `None` if it is missing or malformed.
 pub fn take_handoff(headers: &mut HeaderMap) -> Option<Handoff> {
     let mut bytes = take_bytes(headers, &HANDOFF_HEADER)?;
-    // Stands for the last field, which daemons of an older version don't send.
-    bytes.push(0);
+    // Stand for the last fields, which daemons of an older version don't send.
+    bytes.extend([0; OPTIONAL_HANDOFF_FIELDS]);
     postcard::from_bytes(&bytes).ok()
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! The daemon on the caller's instance takes the request ([`listen`], [`ingress`], [`pipeline`],
 //! [`delivery`]) and hands it to the daemon beside a server that it chooses ([`attempts`], [`links`],
 //! [`handoff`]). There the request waits for a slot and runs ([`local_server`], [`slot`], [`pool`]).
+//! `fate_questions` determines what became of hand-offs on a lost connection.
 //!
 //! Daemons find each other through rows of the store ([`directory`]), in which they also keep the departures of
 //! their servers ([`departures`]). Those of one data centre exchange their
@@ -45,8 +46,10 @@
 pub mod departures;
 pub mod digest;
 pub mod directory;
+mod ended_stream;
 mod exchange;
 mod exec;
+mod fate_questions;
 pub mod freshness;
 pub mod gossip;
 pub mod handoff;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -10,6 +10,7 @@
 use base::{DaemonId, ServiceId};
 use bytes::Bytes;
 use derive_more::Debug;
+use fate::{ConnectionId, Incarnation};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http2::{self, SendRequest};
@@ -24,9 +25,11 @@
 
 use crate::body::{Body, BufferError, buffer_body};
 use crate::body_memory::buffer_request_body;
+use crate::ended_stream::EndedStream;
 use crate::exec::LocalExec;
+use crate::fate_questions::{Receipt, SentHandoff, SentHandoffs};
 use crate::handoff::{
-    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, PROOF_AGE_HEADER, REPORT_HEADER,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
     RUN_ERROR_HEADER, RunError,
 };
 use crate::node::Node;
@@ -67,13 +70,42 @@
 #[derive(Debug, Default)]
 pub struct Links {
     by_addr: RefCell<HashMap<DaemonId, Rc<Mutex<Link>>>>,
+    /// Hand-offs on the connections, the replaced ones included.
+    pub(crate) sent: Rc<SentHandoffs>,
+}
+
+/// An open connection to another daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Connection {
+    id: ConnectionId,
+    #[debug(skip)]
+    sender: Sender,
+    sent: Rc<SentHandoffs>,
+}
+
+impl Connection {
+    /// Numbers a hand-off, which must then be sent without waiting.
+    pub(crate) fn number_handoff(&self) -> SentHandoff {
+        self.sent.send(self.id, Instant::now())
+    }
+
+    /// Sends a request and waits for the head of the answer. A connection that fails is not used again.
+    pub(crate) async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, LinkError> {
+        self.sender.send_request(req).await.map_err(|e| {
+            self.sent.mark_broken(self.id, Instant::now());
+            if e.is_canceled() { LinkError::NotSent } else { LinkError::MayHaveRun }
+        })
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && !self.sent.is_broken(self.id)
+    }
 }
 
 /// Connection to one daemon.
 #[derive(Debug, Default)]
 struct Link {
-    #[debug(skip)]
-    sender: Option<Sender>,
+    connection: Option<Connection>,
     /// When the last failed attempt to connect ended.
     failed_at: Option<Instant>,
 }
@@ -89,9 +121,7 @@
         to: DaemonId,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, LinkError> {
-        let mut sender = self.sender(to).await?;
-        let sent = sender.send_request(req);
-        sent.await.map_err(|e| if e.is_canceled() { LinkError::NotSent } else { LinkError::MayHaveRun })
+        self.connect(to, None).await?.send(req).await
     }
 
     /// Forgets the connection to a daemon, so that the next request opens a new one.
@@ -99,47 +129,57 @@
         self.by_addr.borrow_mut().remove(addr);
     }
 
-    async fn sender(&self, to: DaemonId) -> Result<Sender, LinkError> {
+    /// Returns the open connection to the daemon at `to`, or opens a new one. `peer` is the incarnation by
+    /// which that daemon is known. A connection that has lost a hand-off goes on for the requests that run on
+    /// it, but is replaced for others.
+    pub(crate) async fn connect(
+        &self,
+        to: DaemonId,
+        peer: Option<Incarnation>,
+    ) -> Result<Connection, LinkError> {
         let requested_at = Instant::now();
         let shared_link = Rc::clone(self.by_addr.borrow_mut().entry(to).or_default());
         let mut link = shared_link.lock().await;
-        if let Some(sender) = link.sender.as_ref().filter(|s| !s.is_closed()) {
-            return Ok(sender.clone());
+        if let Some(connection) = link.connection.as_ref().filter(|c| c.is_usable()) {
+            return Ok(connection.clone());
         }
-        link.sender = None;
+        link.connection = None;
         if link.failed_at.is_some_and(|at| requested_at <= at) {
             // An attempt to connect that this request waited for has failed. Another one would take as long.
             return Err(LinkError::NotSent);
         }
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, open_connection(to)).await;
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, self.open(to, peer)).await;
         let opened = opened.unwrap_or_else(|_late| Err(std::io::ErrorKind::TimedOut.into()));
-        let sender = opened.map_err(|e| {
+        let connection = opened.map_err(|e| {
             log::debug!("connecting to daemon {to} failed: {e}");
             link.failed_at = Some(Instant::now());
             LinkError::NotSent
         })?;
-        link.sender = Some(sender.clone());
-        Ok(sender)
+        link.connection = Some(connection.clone());
+        Ok(connection)
     }
-}
 
-async fn open_connection(to: DaemonId) -> std::io::Result<Sender> {
-    let stream = TcpStream::connect(to).await?;
-    socket::set_options(&stream);
-    let mut builder = http2::Builder::new(LocalExec);
-    builder
-        .timer(TokioTimer::new())
-        .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_TIMEOUT);
-    let (sender, conn) = builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-    tokio::task::spawn_local(async move {
-        if let Err(e) = conn.await {
-            log::debug!("connection to daemon {to} failed: {e}");
-        }
-    });
-    Ok(sender)
+    async fn open(&self, to: DaemonId, peer: Option<Incarnation>) -> std::io::Result<Connection> {
+        let stream = TcpStream::connect(to).await?;
+        socket::set_options(&stream);
+        let mut builder = http2::Builder::new(LocalExec);
+        builder
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT);
+        let (sender, conn) = builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let (id, sent) = (self.sent.open(to, peer), Rc::clone(&self.sent));
+        let connection = Connection { id, sender, sent: Rc::clone(&sent) };
+        tokio::task::spawn_local(async move {
+            if let Err(e) = conn.await {
+                log::debug!("connection to daemon {to} failed: {e}");
+            }
+            sent.end(id, Instant::now());
+        });
+        Ok(connection)
+    }
 }
 
 /// Accepts connections of other daemons until `closing` is cancelled, and runs the requests that they hand
@@ -173,9 +213,13 @@
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream, closing: CancellationToken) {
+    let ended = CancellationToken::new();
+    let stream = EndedStream::new(stream, ended.clone());
     let service = service_fn(move |req| {
-        let node = Rc::clone(&node);
-        async move { Ok::<_, Infallible>(respond(node, req).await) }
+        let (node, ended) = (Rc::clone(&node), ended.clone());
+        // Receipts are made in the order of arrival, before any of the requests waits.
+        let arrived = Arrived::new(&node, req);
+        async move { Ok::<_, Infallible>(respond(node, arrived, ended).await) }
     });
     let mut builder = hyper::server::conn::http2::Builder::new(LocalExec);
     builder
@@ -204,7 +248,8 @@
 pub async fn fetch_config(node: &Node, from: DaemonId) -> Option<(Bytes, Duration)> {
     let uri = format!("http://{from}{CONFIG_PATH}");
     let req = Request::builder().uri(uri).body(Full::new(Bytes::new())).ok()?;
-    let rep = node.links.send_request(from, req).await.ok()?;
+    let peer = node.peers.borrow().incarnation(&from);
+    let rep = node.links.connect(from, peer).await.ok()?.send(req).await.ok()?;
     let (mut parts, body) = rep.into_parts();
     let proof_age: Duration = handoff::take_header(&mut parts.headers, &PROOF_AGE_HEADER)?;
     match buffer_body(body, MAX_CONFIG_BYTES).await {
@@ -227,14 +272,45 @@
     rep
 }
 
-async fn respond(node: Rc<Node>, req: Request<Incoming>) -> Response<Body> {
-    if !req.headers().contains_key(&HANDOFF_HEADER) && req.uri().path() == CONFIG_PATH {
-        return config_response(&node);
+/// A request of another daemon, as it has arrived.
+#[derive(Debug)]
+enum Arrived {
+    /// Asks for the configuration.
+    ConfigQuery,
+    /// Has no valid hand-off.
+    Malformed,
+    HandedOff(Box<ReceivedRequest>),
+}
+
+/// A request that was handed off to this daemon.
+#[derive(Debug)]
+struct ReceivedRequest {
+    handoff: Handoff,
+    /// `None` if the request must be declined.
+    receipt: Option<Receipt>,
+    req: Request<Incoming>,
+}
+
+impl Arrived {
+    fn new(node: &Node, mut req: Request<Incoming>) -> Self {
+        if !req.headers().contains_key(&HANDOFF_HEADER) && req.uri().path() == CONFIG_PATH {
+            return Self::ConfigQuery;
+        }
+        let Some(handoff) = handoff::take_handoff(req.headers_mut()) else { return Self::Malformed };
+        let receipt = node.received.receive(&handoff, Instant::now());
+        Self::HandedOff(Box::new(ReceivedRequest { handoff, receipt, req }))
     }
-    let mut rep = match run_handoff(&node, req).await {
-        Ok(rep) => rep,
-        Err(failed) => failed.into_response(&node),
+}
+
+async fn respond(node: Rc<Node>, arrived: Arrived, ended: CancellationToken) -> Response<Body> {
+    let done = match arrived {
+        Arrived::ConfigQuery => return config_response(&node),
+        Arrived::Malformed => {
+            Err(FailedHandoff { error: RunError::declined(DeclineReason::OtherService), service: None })
+        }
+        Arrived::HandedOff(received) => run_handoff(&node, *received, &ended).await,
     };
+    let mut rep = done.unwrap_or_else(|failed| failed.into_response(&node));
     let report = node.local_server.report(Instant::now()).without_probation();
     handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &report);
     rep
@@ -262,24 +338,53 @@
     }
 }
 
-async fn run_handoff(node: &Rc<Node>, req: Request<Incoming>) -> Result<Response<Body>, FailedHandoff> {
-    let (mut parts, body) = req.into_parts();
-    let Some(handoff) = handoff::take_handoff(&mut parts.headers) else {
-        return Err(FailedHandoff { error: RunError::declined(DeclineReason::OtherService), service: None });
+/// Runs a hand-off, unless it is given up or its connection has `ended` before it starts.
+async fn run_handoff(
+    node: &Node,
+    received: ReceivedRequest,
+    ended: &CancellationToken,
+) -> Result<Response<Body>, FailedHandoff> {
+    let ReceivedRequest { handoff, receipt, req } = received;
+    let failed = |error| FailedHandoff { error, service: Some(handoff.service.clone()) };
+    let given_up = RunError::declined(DeclineReason::GivenUp);
+    let Some(receipt) = receipt else { return Err(failed(given_up)) };
+    let result = tokio::select! {
+        biased;
+        () = receipt.given_up() => Err(given_up),
+        // The runs that end with the connection free their slots; what waits on the same one must not take them.
+        () = ended_before_start(&receipt, ended) => Err(given_up),
+        result = receive_and_run(node, &handoff, &receipt, req) => result,
     };
+    if let Err(RunError::Declined { .. }) = result {
+        receipt.decline();
+    }
+    result.map_err(failed)
+}
+
+/// Waits until the connection of a hand-off has ended, if the hand-off has not started then.
+async fn ended_before_start(receipt: &Receipt, ended: &CancellationToken) {
+    ended.cancelled().await;
+    if receipt.has_started() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Receives the rest of a hand-off and runs it.
+async fn receive_and_run(
+    node: &Node,
+    handoff: &Handoff,
+    receipt: &Receipt,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, RunError> {
+    let (mut parts, body) = req.into_parts();
     let max_bytes = node.conf().map(|c| c.limits).unwrap_or_default().max_body_bytes;
-    let run = async {
-        let body = buffer_request_body(body, max_bytes, &node.body_memory).await;
-        let (body, _reserved) = body.map_err(|e| match e {
-            BufferError::NoMemory => RunError::declined(DeclineReason::Busy),
-            BufferError::Broken | BufferError::TooLarge { .. } => {
-                RunError::declined(DeclineReason::Unreachable)
-            }
-        })?;
-        restore_host(&mut parts);
-        node.local_server.run_request(&handoff, Request::from_parts(parts, body)).await
-    };
-    run.await.map_err(|error| FailedHandoff { error, service: Some(handoff.service.clone()) })
+    let body = buffer_request_body(body, max_bytes, &node.body_memory).await;
+    let (body, _reserved) = body.map_err(|e| match e {
+        BufferError::NoMemory => RunError::declined(DeclineReason::Busy),
+        BufferError::Broken | BufferError::TooLarge { .. } => RunError::declined(DeclineReason::Unreachable),
+    })?;
+    restore_host(&mut parts);
+    node.local_server.run_received(handoff, receipt, Request::from_parts(parts, body)).await
 }
 
 /// Turns an HTTP/2 request back into the HTTP/1.1 form for the server, with the host as a header.
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -23,6 +23,7 @@
 
 use crate::body::Body;
 use crate::exchange::ServerExchange;
+use crate::fate_questions::Receipt;
 use crate::handoff::{DeclineReason, Handoff, Repetition, RunError, ServerReport};
 use crate::header_names::HeaderNames;
 use crate::pool::Pool;
@@ -275,6 +276,17 @@
         self: &Rc<Self>,
         handoff: &Handoff,
         req: Request<Bytes>,
+    ) -> Result<Response<Body>, RunError> {
+        self.run_received(handoff, &Receipt::untracked(), req).await
+    }
+
+    /// As [`run_request`](Self::run_request), for a hand-off of another daemon. One that is given up while it
+    /// waits does not start.
+    pub(crate) async fn run_received(
+        self: &Rc<Self>,
+        handoff: &Handoff,
+        receipt: &Receipt,
+        req: Request<Bytes>,
     ) -> Result<Response<Body>, RunError> {
         let now = Instant::now();
         let deadline = now + handoff.deadline_left;
@@ -284,6 +296,9 @@
             .acquire_slot(handoff, now, deadline)
             .await
             .inspect_err(|e| self.log_declined(id.as_ref(), *e, now))?;
+        if !receipt.start() {
+            return Err(RunError::declined(DeclineReason::GivenUp));
+        }
         let is_once = handoff.repetition == Repetition::Never;
         let max_idle = if is_once { MAX_IDLE_FOR_ONCE } else { MAX_IDLE_FOR_REPEATABLE };
         let conn = match timeout_at(deadline.into(), self.pool.take(max_idle)).await {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,10 @@
     pub config_delay_seconds: Histogram,
     /// Queries of the store for a newer configuration, by outcome.
     pub config_queries: IntCounterVec,
+    /// Hand-offs without an answer about which other daemons were asked, counted each time.
+    pub fate_questions: IntCounter,
+    /// Answers to these questions, by what became of the hand-off.
+    pub fate_answers: IntCounterVec,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -96,6 +100,8 @@
                 "Queries of the store for a newer configuration.",
                 "outcome",
             ),
+            fate_questions: counter("pomelo_fate_questions_total", "Hand-offs that were asked about."),
+            fate_answers: by_label("pomelo_fate_answers_total", "Hand-offs whose fate was told.", "fate"),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -26,6 +26,7 @@
 use crate::departures::DepartureLog;
 use crate::digest::{Digest, RelayedReport};
 use crate::directory;
+use crate::fate_questions::ReceivedHandoffs;
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::header_names::HeaderNames;
@@ -92,6 +93,8 @@
     pub peers: RefCell<Peers>,
     /// HTTP/2 connections to the other daemons.
     pub links: Links,
+    /// Hand-offs that other daemons have sent to this one.
+    pub(crate) received: Rc<ReceivedHandoffs>,
     /// Counters and histograms that operators scrape.
     pub metrics: Metrics,
     /// Hashes API keys, so that they can be looked up in the configuration.
@@ -158,6 +161,7 @@
             local_server,
             peers: RefCell::new(peers),
             links: Links::default(),
+            received: Rc::default(),
             metrics,
             hasher,
             snapshot: watch::Sender::new(None),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Latest known incarnation of a daemon.
+    pub fn incarnation(&self, addr: &DaemonId) -> Option<Incarnation> {
+        self.by_addr.get(addr).map(|peer| peer.incarnation)
+    }
+
     /// Time since the report on a daemon's server was received; `None` if there is no report.
     pub fn report_age(&self, addr: &DaemonId, now: Instant) -> Option<Duration> {
         let reported_at = self.by_addr.get(addr)?.reported_at?;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cut;
 pub mod endless;
+pub mod link_relay;
 pub mod source;
 
 use std::cell::{Cell, RefCell};
@@ -26,6 +27,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use limit::QuotaTolerance;
+use link_relay::LinkRelay;
 use relay::daemon::{Sockets, run_daemon};
 use relay::datagram::{Datagram, Hello, PeerInfo, Status};
 use relay::header_names::HeaderNames;
@@ -356,11 +358,42 @@
     start_fleet(backends, &places, make_snapshot, Rows::default()).await
 }
 
+/// Starts a fleet as [`fleet`] does, in which a relay carries the connections to each daemon.
+pub async fn fleet_with_relays(
+    scripts: &[&[Act]],
+    make_snapshot: fn(&KeyHasher) -> Snapshot,
+) -> (Fleet, Vec<Rc<LinkRelay>>) {
+    let (mut backends, mut sockets, mut relays) = (Vec::new(), Vec::new(), Vec::new());
+    for script in scripts {
+        backends.push(Backend::start(script).await);
+        let (handoffs, datagrams) = bind_sockets().await;
+        let (relay, handoffs) = LinkRelay::start(handoffs).await;
+        relays.push(relay);
+        sockets.push((handoffs, datagrams));
+    }
+    let places = vec![Place::new("meseta", "barva"); backends.len()];
+    (start_fleet_on(sockets, backends, &places, make_snapshot, Rows::default()).await, relays)
+}
+
 async fn start_fleet(
     backends: Vec<Rc<Backend>>,
     places: &[Place],
     make_snapshot: fn(&KeyHasher) -> Snapshot,
     rows: Rows,
+) -> Fleet {
+    let mut sockets = Vec::new();
+    for _ in &backends {
+        sockets.push(bind_sockets().await);
+    }
+    start_fleet_on(sockets, backends, places, make_snapshot, rows).await
+}
+
+async fn start_fleet_on(
+    sockets: Vec<(TcpListener, UdpSocket)>,
+    backends: Vec<Rc<Backend>>,
+    places: &[Place],
+    make_snapshot: fn(&KeyHasher) -> Snapshot,
+    rows: Rows,
 ) -> Fleet {
     let source = Rc::new(Source {
         make_snapshot: Cell::new(make_snapshot),
@@ -371,10 +404,9 @@
     });
     let rows = Rc::new(rows);
     let mut daemons = Vec::new();
-    for (n, (backend, place)) in backends.into_iter().zip(places).enumerate() {
-        let sockets = bind_sockets().await;
+    for (n, ((backend, place), sockets)) in backends.into_iter().zip(places).zip(sockets).enumerate() {
         let identity = Identity {
-            addr: sockets.0.local_addr().expect("a bound address"),
+            addr: sockets.1.local_addr().expect("a bound address"),
             incarnation: n as u64 + 1,
             place: place.clone(),
             service: SERVICE.into(),
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -575,6 +575,8 @@
         repetition: Repetition::Allowed,
         allow_suspect: false,
         is_repeat: false,
+        connection: 0,
+        number: 0,
         objective: Duration::from_secs(1),
         objective_left: Duration::ZERO,
         deadline_left: Duration::from_secs(5),
@@ -638,12 +640,24 @@
     let mut headers = hyper::HeaderMap::new();
     relay::handoff::insert_header(&mut headers, &relay::handoff::HANDOFF_HEADER, &late_handoff());
     let value = headers[&relay::handoff::HANDOFF_HEADER].to_str().expect("digits").to_owned();
-    let without_last_byte = &value[..value.len() - 2];
-    headers.insert(&relay::handoff::HANDOFF_HEADER, without_last_byte.parse().expect("a header value"));
+    let without_last_bytes = &value[..value.len() - 6];
+    headers.insert(&relay::handoff::HANDOFF_HEADER, without_last_bytes.parse().expect("a header value"));
     let decoded = relay::handoff::take_handoff(&mut headers);
     assert!(decoded.is_some_and(|handoff| !handoff.is_repeat));
 }
 
+// Guards against hand-offs of daemons of an older version, which have no number, being declined as malformed.
+#[test]
+fn a_handoff_of_an_older_version_without_a_number_is_valid() {
+    let mut headers = hyper::HeaderMap::new();
+    relay::handoff::insert_header(&mut headers, &relay::handoff::HANDOFF_HEADER, &repeat());
+    let value = headers[&relay::handoff::HANDOFF_HEADER].to_str().expect("digits").to_owned();
+    let without_number = &value[..value.len() - 4];
+    headers.insert(&relay::handoff::HANDOFF_HEADER, without_number.parse().expect("a header value"));
+    let decoded = relay::handoff::take_handoff(&mut headers);
+    assert!(decoded.is_some_and(|handoff| handoff.is_repeat && handoff.connection == 0));
+}
+
 // Guards against a missing last byte that is made up for messages other than a handoff.
 #[test]
 fn a_message_without_its_last_byte_is_malformed() {
