Revoke waiting hand-offs before a planned stop ends

Cause: a request that still waits at a server's daemon when its caller's daemon ends a planned stop is answered 502, although it has not run. Change: 300 ms before requests are aborted, the stopping daemon asks with revoke about all hand-offs without an answer. One that is proven not to have run then is not placed again, since no server could finish it.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -143,6 +143,7 @@
     ) -> ControlFlow<RequestResult, bool> {
         let to = info.to;
         let is_declined = matches!(outcome, AttemptOutcome::Failed(RunError::Declined { .. }));
+        let may_place_again = !is_proven(&outcome) || self.node.may_start_request(Instant::now());
         let has_run = self.uncertain.is_some() || self.fallback.is_some();
         self.may_have_run.set(!is_declined || still_running > 0 || has_run);
         self.hedged.take_if(|hedged| *hedged == to);
@@ -170,7 +171,9 @@
             self.tried.push(to);
         }
         let is_hedge_running = still_running > 0 && self.hedged.is_none();
-        ControlFlow::Continue(!is_hedge_running && self.try_spend_retry(reason, still_running))
+        ControlFlow::Continue(
+            may_place_again && !is_hedge_running && self.try_spend_retry(reason, still_running),
+        )
     }
 
     fn record_answer_time(&self, info: AttemptInfo, rep: &Response<Body>) {
@@ -396,3 +399,9 @@
         req
     }
 }
+
+/// Whether an attempt was proven not to have run by a question, as at the end of a planned stop. A server could not
+/// finish the request then.
+fn is_proven(outcome: &AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::Failed(RunError::Declined { reason, .. }) if reason.is_proof())
+}
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -29,6 +29,9 @@
 const LEAVE_DIRECTORY_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time before the connections are cut at which requests without an answer are answered by the daemon itself.
 const ANSWER_MARGIN: Duration = Duration::from_millis(350);
+/// Time before that at which servers' daemons are asked to give up hand-offs that still wait, so that their
+/// callers learn that they have not run. Leaves time for two questions.
+const REVOKE_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping daemon checks whether all requests at its server have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -151,6 +154,11 @@
 /// Waits until all connections and requests have ended. At `answer_by` aborts requests that are still
 /// running, and returns at `end_by` in any case.
 async fn drain(node: &Node, connections: &Connections, answer_by: Instant, end_by: Instant) {
+    let revoke_at = answer_by.checked_sub(REVOKE_MARGIN).unwrap_or(answer_by);
+    if timeout_at(revoke_at.into(), connections.wait_until_ended(node)).await.is_ok() {
+        return;
+    }
+    node.links.sent.revoke_all(Instant::now());
     if timeout_at(answer_by.into(), connections.wait_until_ended(node)).await.is_ok() {
         return;
     }
--- a/crates/relay/src/fate_questions.rs
+++ b/crates/relay/src/fate_questions.rs
@@ -99,6 +99,12 @@
         self.update(connection, |sending| sending.has_ended = true);
     }
 
+    /// Asks other daemons to give up all hand-offs that have not started.
+    pub(crate) fn revoke_all(&self, now: Instant) {
+        self.connections.borrow_mut().values_mut().for_each(|sending| sending.revoke(now));
+        self.is_due_earlier.notify_one();
+    }
+
     /// Changes a connection, and removes it if it has ended and no hand-off is left on it.
     fn update(&self, connection: ConnectionId, change: impl FnOnce(&mut Sending)) {
         let mut connections = self.connections.borrow_mut();
--- a/crates/relay/tests/silent_links.rs
+++ b/crates/relay/tests/silent_links.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use common::link_relay::LinkRelay;
-use common::{Act, Fleet, conf, eventually, fleet, fleet_with_relays, on_one_thread, status};
+use common::{
+    Act, Fleet, conf, eventually, fleet, fleet_with_relays, long_timeout_conf, on_one_thread, status,
+};
 use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::task::spawn_local;
@@ -182,3 +184,33 @@
         assert_eq!((status(&answer), fleet.runs()), (502, 1), "{answer}");
     });
 }
+
+/// Run time of the orders from which a server's daemon learns how long orders take.
+const LEARNED_RUN_MS: u64 = 3_000;
+/// Run time of orders that occupy the slots beyond the end of a stop.
+const ENDLESS_RUN_MS: u64 = 30_000;
+
+// Guards against a 502 for an order that still waits for a slot when its caller's daemon ends a planned stop.
+#[test]
+fn an_order_that_waits_until_the_end_of_a_stop_ends_as_not_run() {
+    on_one_thread(async {
+        let (learned, endless) = (Act::After(LEARNED_RUN_MS), Act::After(ENDLESS_RUN_MS));
+        let acts: &[Act] = &[learned, learned, endless];
+        let fleet = Rc::new(fleet(&[&[Act::Answer], acts], long_timeout_conf).await);
+        fleet.daemons[0].register(2, true);
+        let server_daemon = &fleet.daemons[1];
+        tokio::join!(server_daemon.post("/order/a", "r1"), server_daemon.post("/order/a", "r2"));
+        for id in ["r3", "r4"] {
+            let fleet = Rc::clone(&fleet);
+            spawn_local(async move { fleet.daemons[1].post("/order/a", id).await });
+        }
+        eventually(|| server_daemon.runs() == 4).await;
+        let stop = async {
+            eventually(|| server_daemon.node.local_server.report(Instant::now()).waiting == 1).await;
+            fleet.daemons[0].stop.cancel();
+        };
+        let (rep, ()) = tokio::join!(fleet.daemons[0].post("/order/a", "r5"), stop);
+        assert_eq!((status(&rep), server_daemon.runs()), (503, 4), "{rep}");
+        assert_eq!(server_daemon.node.local_server.report(Instant::now()).waiting, 0);
+    });
+}
