--- a/crates/relay/src/datagram.rs
+++ b/crates/relay/src/datagram.rs
@@ -50,6 +50,10 @@
     },
     /// What operators ask of the fleet apart from its configuration.
     OperatorState(OperatorState),
+    /// Asks what became of hand-offs that the sender has sent to the receiver.
+    FateQuestion(fate::Question),
+    /// Answers a question about hand-offs.
+    FateAnswer(fate::Answer),
 }
 
 impl Datagram {
@@ -63,6 +67,7 @@
             Datagram::Digest { .. } => "digest",
             Datagram::Departures { .. } => "departures",
             Datagram::OperatorState(_) => "operator-state",
+            Datagram::FateQuestion(_) | Datagram::FateAnswer(_) => "fate",
         }
     }
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -19,12 +19,12 @@
 
 use crate::clock::BootTime;
 use crate::datagram::{Datagram, Hello, PeerInfo, RemovedPeer, Status};
-use crate::departures;
 use crate::digest::Digest;
 use crate::node::Node;
 use crate::operator_state::OperatorState;
 use crate::peers::StatusOutcome;
 use crate::registration::Departure;
+use crate::{departures, fate_questions};
 
 /// Interval at which one daemon sends digests to the other data centres.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -61,7 +61,7 @@
         Self { socket, sent_bytes }
     }
 
-    fn send_datagram(&self, to: DaemonId, datagram: &Datagram) {
+    pub(crate) fn send_datagram(&self, to: DaemonId, datagram: &Datagram) {
         match postcard::to_stdvec(datagram) {
             Ok(bytes) => match self.socket.try_send_to(&bytes, to) {
                 Ok(len) => self.sent_bytes.with_label_values(&[datagram.kind()]).inc_by(len as u64),
@@ -227,6 +227,8 @@
         }
         Datagram::Departures { of, departures } => handle_departures(node, from, of, departures, now),
         Datagram::OperatorState(state) => handle_operator_state(node, gossip, from, state),
+        Datagram::FateQuestion(question) => fate_questions::answer_question(node, gossip, from, &question),
+        Datagram::FateAnswer(answer) => fate_questions::apply_answer(node, from, &answer),
     }
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,10 @@
     pub store_restores: IntCounter,
     /// Answers of the store that were refused because they were from before its restore.
     pub outdated_store_answers: IntCounter,
+    /// Hand-offs without an answer about which other daemons were asked, counted each time.
+    pub fate_questions: IntCounter,
+    /// Answers to these questions, by what became of the hand-off.
+    pub fate_answers: IntCounterVec,
     /// Log lines that were dropped because the writer could not keep up.
     pub log_dropped: IntCounter,
 }
@@ -117,6 +121,8 @@
                 "pomelo_store_outdated_answers_total",
                 "Answers of the store that were refused because they were from before its restore.",
             ),
+            fate_questions: counter("pomelo_fate_questions_total", "Hand-offs that were asked about."),
+            fate_answers: by_label("pomelo_fate_answers_total", "Hand-offs whose fate was told.", "fate"),
             log_dropped: counter("pomelo_log_dropped_total", "Log lines dropped."),
             request_seconds: histogram("pomelo_request_seconds", "Time from request to answer."),
             registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::departures::DepartureLog;
 use crate::digest::{Digest, RelayedReport};
 use crate::directory;
+use crate::fate_questions::ReceivedHandoffs;
 use crate::freshness::Freshness;
 use crate::gossip::Gossip;
 use crate::header_names::HeaderNames;
@@ -97,6 +98,8 @@
     pub peers: RefCell<Peers>,
     /// HTTP/2 connections to the other daemons.
     pub links: Links,
+    /// Hand-offs that other daemons have sent to this one.
+    pub(crate) received: Rc<ReceivedHandoffs>,
     /// Counters and histograms that operators scrape.
     pub metrics: Metrics,
     /// Hashes API keys, so that they can be looked up in the configuration.
@@ -172,6 +175,7 @@
             peers: RefCell::new(peers),
             links: Links::default(),
             store_era: Arc::new(StoreEra::new(&metrics)),
+            received: Rc::default(),
             metrics,
             hasher,
             snapshot: watch::Sender::new(None),
