Keep a daemon that starts after a restore from an outdated configuration

Cause: a daemon without a configuration takes the store's first one with its proof. In a restored store this may be older than what other daemons have in force, so a withdrawn key could work there again. Besides, the test of a lost directory row failed in 2 of 4 runs: a daemon that has just written its row for the first time noticed a restore only after 0.6 s, and wrote its row up to 1.3 s after the restore. Change: in an era after the first, the store's configuration is not the first one of a daemon before 0.8 s after its start, or 3 s if another daemon has told of one. The wait after the first write ends with a restore. The tests' source decodes each configuration as the version that it is, and refuses to prove one newer than its own.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -100,20 +100,14 @@
     let mut own_row = found.own_row;
     if !found.has_own_row {
         own_row = write_with_retry(&node, &*table, found.own_row.version).await;
-        sleep(READ_DELAY_AFTER_WRITE).await;
+        wait_or_rewrite(&node, &*table, &mut own_row, READ_DELAY_AFTER_WRITE).await;
         read_with_retry(&node, &gossip, &*table).await;
     }
     loop {
         let is_reader = node.peers.borrow().rank_in_centre(Instant::now()) < FREQUENT_READERS;
         let interval = if is_reader { REREAD_INTERVAL } else { RARE_REREAD_INTERVAL };
         let reread_delay = interval.mul_f64(rand::rng().random_range(0.8..1.2));
-        if timeout(reread_delay, node.store_era.later_than(own_row.era)).await.is_ok() {
-            if node.is_stopping() {
-                // The daemon may already have left the directory, and its next process reads it.
-                return;
-            }
-            sleep(store_era::rewrite_delay(&mut rand::rng())).await;
-            own_row = rewrite_own_row(&node, &*table).await;
+        if wait_or_rewrite(&node, &*table, &mut own_row, reread_delay).await {
             continue;
         }
         let found = read_with_retry(&node, &gossip, &*table).await;
@@ -150,6 +144,21 @@
     }
 }
 
+/// Waits for `delay`. If the store is restored meanwhile, brings back this daemon's row instead and returns true.
+async fn wait_or_rewrite(node: &Node, table: &dyn Table, own_row: &mut StoreStamp, delay: Duration) -> bool {
+    if timeout(delay, node.store_era.later_than(own_row.era)).await.is_err() {
+        return false;
+    }
+    sleep(store_era::rewrite_delay(&mut rand::rng())).await;
+    if node.is_stopping() {
+        // The daemon may already have left the directory, and its next process writes its row.
+        own_row.era = node.store_era.latest();
+    } else {
+        *own_row = rewrite_own_row(node, table).await;
+    }
+    true
+}
+
 /// Writes this daemon's row again if the restored store lacks it, with increasing delays until the store answers.
 /// A copy holds most rows, so reading first costs one call for most daemons.
 async fn rewrite_own_row(node: &Node, table: &dyn Table) -> StoreStamp {
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -47,6 +47,11 @@
 /// [`DISCOVERY_WAIT`] at the first start of a fleet, when each daemon reads the directory only after all
 /// daemons have written their rows.
 const FIRST_START_DISCOVERY_WAIT: Duration = Duration::from_secs(1);
+/// Time after the start for which a daemon without a configuration leaves that of a restored store unused. The copy may
+/// hold an older one than other daemons have in force, which tell of theirs when this one introduces itself.
+const RESTORED_START_WAIT: Duration = Duration::from_millis(800);
+/// [`RESTORED_START_WAIT`] if other daemons have told of a configuration, which may take a while to arrive.
+const MAX_RESTORED_START_WAIT: Duration = Duration::from_secs(3);
 
 /// What earlier queries say about the next one. Sans-I/O.
 #[derive(Debug)]
@@ -94,7 +99,7 @@
     let mut backoff = Backoff::new(started);
     loop {
         wait_until_due(node, &backoff, started).await;
-        query_store(node, &mut source, &mut backoff).await;
+        query_store(node, &mut source, &mut backoff, started).await;
     }
 }
 
@@ -120,7 +125,7 @@
         let discovery_wait =
             if node.identity.is_first_start { FIRST_START_DISCOVERY_WAIT } else { DISCOVERY_WAIT };
         let start_wait = (START_WAIT_PER_RANK * rank as u32).min(MAX_START_WAIT);
-        return started + discovery_wait.max(start_wait);
+        return started + discovery_wait.max(start_wait).max(restored_start_wait(node));
     };
     if rank == 0 {
         return now;
@@ -132,7 +137,17 @@
     by_news.map_or(by_age, |at| at.min(by_age))
 }
 
-async fn query_store(node: &Node, source: &mut impl ConfigSource, backoff: &mut Backoff) {
+/// Time after the start for which a configuration of the store must not be the first one of this daemon.
+fn restored_start_wait(node: &Node) -> Duration {
+    let has_heard = node.config_news.get().behind_since().is_some();
+    match (node.store_era.latest(), has_heard) {
+        (0, _) => Duration::ZERO,
+        (_, false) => RESTORED_START_WAIT,
+        (_, true) => MAX_RESTORED_START_WAIT,
+    }
+}
+
+async fn query_store(node: &Node, source: &mut impl ConfigSource, backoff: &mut Backoff, started: Instant) {
     let known = node.conf_version();
     let sent_at = Instant::now();
     // A store that has failed shows at once whether it answers again; the next query may wait for a change.
@@ -146,6 +161,12 @@
             }
             node.metrics.config_queries.with_label_values(&["answered"]).inc();
             backoff.record_answer(now);
+            let may_start_at = started + restored_start_wait(node);
+            if node.conf_version() == 0 && now < may_start_at {
+                // Only this answer has told that the store was restored.
+                backoff.not_before = may_start_at;
+                return;
+            }
             apply_reply(node, reply, known, sent_at, backoff);
         }
         Err(e) => {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -387,6 +387,7 @@
 ) -> Fleet {
     let source = Rc::new(Source {
         make_snapshot: Cell::new(make_snapshot),
+        made: RefCell::default(),
         is_up: Cell::new(true),
         partitioned: Cell::new(None),
         turned_away: RefCell::default(),
--- a/crates/relay/tests/common/source.rs
+++ b/crates/relay/tests/common/source.rs
@@ -1,7 +1,7 @@
 //! Source of the daemons' configuration, which turns some of them away or doesn't answer them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,11 +17,16 @@
 /// Time after which a query of the source fails that gets no answer.
 pub const QUERY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Makes a configuration, with keys hashed by a daemon's hasher.
+pub type MakeSnapshot = fn(&KeyHasher) -> Snapshot;
+
 /// Source of the configuration for all daemons of a test.
 #[derive(Debug)]
 pub struct Source {
     /// Makes the newest configuration, with keys hashed by the daemon's hasher.
-    pub make_snapshot: Cell<fn(&KeyHasher) -> Snapshot>,
+    pub make_snapshot: Cell<MakeSnapshot>,
+    /// Makers of all configurations that daemons have got, by version.
+    pub made: RefCell<HashMap<Version, MakeSnapshot>>,
     /// Whether the source answers.
     pub is_up: Cell<bool>,
     /// Incarnation of a daemon that the source doesn't answer.
@@ -58,6 +63,10 @@
             return Err(StoreError::Down);
         }
         let snapshot = (self.source.make_snapshot.get())(&self.hasher);
+        if snapshot.version < known {
+            return Err(StoreError::Refused { problem: "the source is behind".into() });
+        }
+        self.source.made.borrow_mut().insert(snapshot.version, self.source.make_snapshot.get());
         let raw = Bytes::from(snapshot.version.to_string());
         let fetched = (snapshot.version > known).then_some(FetchedConfig { snapshot, raw });
         Ok(WatchReply { fetched, proven_at: asked_at })
@@ -75,7 +84,9 @@
 
 impl ConfigDecoder for SourceDecoder {
     fn decode(&self, raw: Bytes) -> Result<FetchedConfig, StoreError> {
-        let snapshot = (self.source.make_snapshot.get())(&self.hasher);
-        Ok(FetchedConfig { snapshot, raw })
+        let version: Version = String::from_utf8_lossy(&raw).parse().expect("a version");
+        let made = self.source.made.borrow();
+        let make_snapshot = made.get(&version).expect("the source has made the configuration");
+        Ok(FetchedConfig { snapshot: make_snapshot(&self.hasher), raw })
     }
 }
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -6,7 +6,11 @@
 use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, Instant};
 
-use common::{Act, Daemon, Fleet, Rows, conf, eventually, fleet, on_one_thread, status};
+use common::{
+    Act, Daemon, Fleet, Rows, announce_silent_neighbour, conf, eventually, fleet, on_one_thread, snapshot,
+    status,
+};
+use conf::{KeyHasher, Snapshot};
 use relay::datagram::RemovedPeer;
 use relay::directory::{maintain_directory, remove_daemon};
 use relay::gossip::Gossip;
@@ -138,3 +142,63 @@
         assert!(rows.contain("127.0.0.1:9"));
     });
 }
+
+/// [`conf`] without its API key.
+fn conf_without_key(hasher: &KeyHasher) -> Snapshot {
+    snapshot(hasher, 2, &[], 1_000_000.0)
+}
+
+/// Kills the last daemon and starts it again, after a restore of the store from a copy with the first configuration.
+async fn restart_after_restore(fleet: &mut Fleet) -> Daemon {
+    fleet.source.make_snapshot.set(conf_without_key);
+    eventually(|| fleet.daemons.iter().all(|d| d.node.conf_version() == 2)).await;
+    fleet.source.make_snapshot.set(conf);
+    fleet.rows.copy();
+    restore(fleet);
+    let old = fleet.daemons.pop().expect("a daemon");
+    let new = fleet.kill_and_restart(old).await;
+    new.node.hear_of_store_era(1);
+    new
+}
+
+// Guards against a withdrawn key that works again at a daemon which starts while only the copy's configuration can be
+// read.
+#[test]
+fn a_daemon_that_starts_after_a_restore_takes_a_neighbours_newer_configuration() {
+    on_one_thread(async {
+        let mut fleet = fleet_of_two().await;
+        let new = restart_after_restore(&mut fleet).await;
+        let until = Instant::now() + WATCH_TIME;
+        while Instant::now() < until {
+            assert_ne!(new.node.conf_version(), 1);
+            let rep = new.get("/stock/a", "withdrawn").await;
+            assert_ne!(status(&rep), 200, "{rep}");
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(new.node.conf_version(), 2);
+    });
+}
+
+// Guards against a withdrawn key that works until a newer configuration has arrived, of which a neighbour has told.
+#[test]
+fn a_daemon_that_starts_after_a_restore_waits_for_a_newer_configuration() {
+    on_one_thread(async {
+        let mut fleet = fleet(&[&[Act::Answer]], conf).await;
+        let new = restart_after_restore(&mut fleet).await;
+        let silent = announce_silent_neighbour(&new, 2).await;
+        sleep(WATCH_TIME).await;
+        assert_eq!(new.node.conf_version(), 0);
+        drop(silent);
+        eventually(|| new.node.conf_version() == 1).await;
+    });
+}
+
+// Guards against a daemon that never serves because nobody can tell it whether the copy's configuration is the newest.
+#[test]
+fn a_daemon_that_starts_alone_after_a_restore_uses_the_copys_configuration() {
+    on_one_thread(async {
+        let mut fleet = fleet(&[&[Act::Answer]], conf).await;
+        let new = restart_after_restore(&mut fleet).await;
+        eventually(|| new.node.conf_version() == 1 && new.node.is_conf_fresh()).await;
+    });
+}
