--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -422,6 +422,7 @@
         make_snapshot: Cell::new(make_snapshot),
         evacuated: RefCell::default(),
         answers: Cell::new(0),
+        made: RefCell::default(),
         is_up: Cell::new(true),
         partitioned: Cell::new(None),
         turned_away: RefCell::default(),
