--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,7 +3,7 @@
 //! Nothing in this crate does I/O or reads a clock: times and randomness come from the caller.
 //!
 //! [`choose_server`] picks a server with two random choices; [`place_request`] picks the daemon whose server
-//! runs a request. [`SlotQueue`] orders requests in front of one server and
+//! runs a request, by the cost that [`CostEstimator`] learns. [`SlotQueue`] orders requests in front of one server and
 //! [`ColdGate`] bounds them while it is cold, [`FairQueue`] shares a service among
 //! customers. [`ConcurrencyLimit`], [`RetryBudget`] and [`LinkBudget`] bound requests in flight, retries and
 //! bytes between regions.
@@ -20,6 +20,7 @@
 pub mod choice;
 pub mod cold_gate;
 pub mod concurrency_limit;
+pub mod cost;
 pub mod fair_queue;
 pub mod link_budget;
 pub mod placement;
@@ -29,6 +30,7 @@
 pub use choice::{Criteria, choose_server};
 pub use cold_gate::ColdGate;
 pub use concurrency_limit::ConcurrencyLimit;
+pub use cost::{CostEstimator, RunEstimate, SpeedEstimator};
 pub use fair_queue::{FairQueue, PushOutcome};
 pub use link_budget::LinkBudget;
 pub use placement::place_request;
