Place requests by the work that servers still have to do

Counts times the mean run time rated a server with two long requests above one with three short ones, and a server that had drawn expensive requests seemed slow. The remaining time of a run was guessed from the mean.

SlotQueue tells the work of what runs and waits from RunEstimate; the report carries it (all, and the part that a nested call does not pass), and expected_completion divides it by the slots. The server's daemon learns its speed from the cost that the caller's daemon sends with the hand-off, and returns the run time with the answer, from which the caller's daemon learns costs without the wait for a slot. Sheds are reported as their share. The metric pomelo_run_ratio and run_ms and expected_ms of E0705 compare expected and real run times.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,7 +25,7 @@
 use crate::exchange::OVERDUE_FACTOR;
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, REPORT_HEADER, RUN_ERROR_HEADER,
-    RunError, ServerReport,
+    RUN_TIME_HEADER, RunError, RunTime, ServerReport,
 };
 use crate::links::LinkError;
 use crate::node::Node;
@@ -51,6 +51,8 @@
     pub(crate) overdue_at: Instant,
     /// Age in milliseconds of the report on the server when its daemon was chosen; -1 without a report.
     pub(crate) report_ms: i64,
+    /// Run time expected at an average server.
+    pub(crate) expected_run: Duration,
 }
 
 /// An attempt that is running.
@@ -103,6 +105,8 @@
     pub(crate) handoff: Handoff,
     pub(crate) req: Request<Bytes>,
     pub(crate) deadline: Instant,
+    /// Run time expected at an average server.
+    pub(crate) expected_run: Duration,
 }
 
 impl AttemptRequest {
@@ -117,9 +121,10 @@
         };
         let objective_left = self.handoff.objective_left;
         let expected =
-            self.node.answer_times.borrow().expected_run(self.handoff.route_hash, self.handoff.objective);
+            self.node.answer_times.borrow().estimate(self.handoff.route_hash, self.handoff.objective).mean();
         let overdue_after = (expected * OVERDUE_FACTOR).max(objective_left);
-        AttemptInfo { to, sent_at: now, overdue_at: now + overdue_after, report_ms }
+        let expected_run = self.expected_run;
+        AttemptInfo { to, sent_at: now, overdue_at: now + overdue_after, report_ms, expected_run }
     }
 
     /// Time until which an answer is accepted.
@@ -182,6 +187,7 @@
             metrics.report_age_seconds.observe(age.as_secs_f64());
         }
         peers.record_handoff(self.to, now);
+        peers.add_pending_work(self.to, self.expected_run);
     }
 
     /// Turns the request into the form that is sent to other daemons: HTTP/2, with the host in the target and
@@ -207,6 +213,9 @@
         {
             self.node.peers.borrow_mut().apply_relayed_reports(&servers, Instant::now());
         }
+        if let Some(run_time) = handoff::take_header::<RunTime>(&mut parts.headers, &RUN_TIME_HEADER) {
+            parts.extensions.insert(run_time);
+        }
         if let Some(error) = handoff::take_header(&mut parts.headers, &RUN_ERROR_HEADER) {
             return AttemptOutcome::Failed(error);
         }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -17,13 +17,13 @@
 use hyper::{Request, Response};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::placement::{Candidate, Distance, Requirements, place_request, typical_run};
+use route::placement::{Candidate, Distance, Requirements, place_request};
 use smallvec::SmallVec;
 use tokio::time::{sleep, sleep_until};
 
 use crate::attempt::{AttemptInfo, AttemptOutcome, AttemptRequest, InFlight};
 use crate::body::Body;
-use crate::handoff::{DeclineReason, Handoff, Repetition, RunError};
+use crate::handoff::{DeclineReason, Handoff, Repetition, RunError, RunTime};
 use crate::ingress::{Admitted, MIN_RETRY_AFTER, RequestRefusal};
 use crate::node::Node;
 
@@ -37,6 +37,8 @@
 const HEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Estimated size of the heads of a request and its answer in bytes.
 const ESTIMATED_HEAD_BYTES: u64 = 1_024;
+/// Lower bound, in seconds, of the expected run time by which a run time is divided for the metric.
+const MIN_EXPECTED_RUN_S: f64 = 0.001;
 
 /// Mean sizes of answers in bytes, by hash of the route's name.
 pub type ResponseSizes = HashMap<u32, f64>;
@@ -174,21 +176,40 @@
     }
 
     fn record_answer_time(&self, info: AttemptInfo, rep: &Response<Body>) {
-        if !rep.status().is_server_error() {
-            let took = info.sent_at.elapsed();
-            self.node.answer_times.borrow_mut().record(self.admitted.route_hash, took);
+        if rep.status().is_server_error() {
+            return;
+        }
+        let took = info.sent_at.elapsed();
+        self.node.answer_times.borrow_mut().record(self.admitted.route_hash, took);
+        // Missing while the run goes on because its answer is streamed.
+        if let Some(run_time) = rep.extensions().get::<RunTime>() {
+            self.node.costs.borrow_mut().record(self.admitted.route_hash, run_time.cost);
+            let expected_s = info.expected_run.as_secs_f64().max(MIN_EXPECTED_RUN_S);
+            self.node.metrics.run_ratio.observe(run_time.took.as_secs_f64() / expected_s);
         }
     }
 
+    /// Run time expected at an average server. On a route whose answers are all streamed, their run times are not
+    /// known here, and the time to the head of the answer stands for them.
+    fn expected_run(&self) -> Duration {
+        let Admitted { route, route_hash, .. } = self.admitted;
+        let learned = self.node.costs.borrow().recorded(*route_hash);
+        let estimate =
+            learned.unwrap_or_else(|| self.node.answer_times.borrow().estimate(*route_hash, route.objective));
+        estimate.mean()
+    }
+
     fn log_answer(&self, info: AttemptInfo, rep: &Response<Body>) {
         let AttemptInfo { to, report_ms, .. } = info;
         let (status, took_ms) = (rep.status().as_u16(), info.sent_at.elapsed().as_millis());
+        let run_ms = rep.extensions().get::<RunTime>().map_or(-1, |run| run.took.as_millis() as i64);
+        let expected_ms = info.expected_run.as_millis();
         let customer = self.admitted.customer.as_deref().unwrap_or("-");
         let (id, route, version) = (self.id, &self.admitted.route.name, self.admitted.version);
         event!(
             Info,
             RequestAnswered,
-            "id={id} route={route} version={version} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms}"
+            "id={id} route={route} version={version} customer={customer} to={to} report_ms={report_ms} status={status} took_ms={took_ms} run_ms={run_ms} expected_ms={expected_ms}"
         );
     }
 
@@ -320,14 +341,11 @@
         self.add_local_server(&mut addrs, &mut candidates, now);
         let sizes = self.node.response_sizes.borrow();
         let size = sizes.get(&self.admitted.route_hash).copied().unwrap_or(0.0);
-        let objective = self.admitted.route.objective;
-        let expected_run = self.node.answer_times.borrow().expected_run(self.admitted.route_hash, objective);
         let requirements = Requirements {
             repeatable: self.repeatable && self.servers_reached == 0 && self.hedged.is_none(),
             nested: self.admitted.route.open,
             objective_left: self.admitted.objective_at.saturating_duration_since(now),
-            expected_run,
-            typical_run: typical_run(&candidates).unwrap_or(expected_run),
+            expected_run: self.expected_run(),
             bytes: size as u64 + self.admitted.body.len() as u64 + ESTIMATED_HEAD_BYTES,
         };
         let mut rng = SmallRng::from_rng(&mut rand::rng());
@@ -348,7 +366,7 @@
         candidates.push(Candidate {
             index: addrs.len(),
             distance: Distance::SameInstance,
-            load: report.load(0),
+            load: report.load(0, Duration::ZERO),
             condition: report.condition,
             reachable: true,
             is_known: true,
@@ -368,6 +386,7 @@
             repetition: if self.repeatable { Repetition::Allowed } else { Repetition::Never },
             allow_suspect: self.allow_suspect,
             is_repeat: self.servers_reached > 0 || self.hedged.is_some(),
+            cost: self.node.costs.borrow().learned_mean(self.admitted.route_hash),
             objective: self.admitted.route.objective,
             objective_left: self.admitted.objective_at.saturating_duration_since(now),
             deadline_left: self.node.answer_deadline(self.admitted.deadline).saturating_duration_since(now),
@@ -382,6 +401,7 @@
             handoff: self.handoff(),
             req: self.request(),
             deadline: self.admitted.deadline,
+            expected_run: self.expected_run(),
         }
     }
 
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -134,7 +134,9 @@
             local_server.pool.put(conn, run.keep_alive, now);
         } else {
             run.conn = Some(conn);
-            run.finish(true, now);
+            if let Some(run_time) = run.finish(true, now) {
+                parts.extensions.insert(run_time);
+            }
         }
         Ok(Response::from_parts(parts, Body::whole(bytes)))
     }
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -10,6 +10,7 @@
 use derive_more::Display;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use route::placement::{ServerCondition, ServerLoad};
+use route::slot_queue::SlotWork;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,8 @@
 pub static RUN_ERROR_HEADER: HeaderName = HeaderName::from_static("x-pomelo-verdict");
 /// Header that carries a [`ServerReport`], set on every answer by the daemon beside the server.
 pub static REPORT_HEADER: HeaderName = HeaderName::from_static("x-pomelo-report");
+/// Header that carries a [`RunTime`], set on an answer whose run has ended by the daemon beside the server.
+pub static RUN_TIME_HEADER: HeaderName = HeaderName::from_static("x-pomelo-run-time");
 /// Header that carries a list of [`RelayedReport`](crate::digest::RelayedReport), set by the daemon that declines a
 /// request.
 pub static ALTERNATIVES_HEADER: HeaderName = HeaderName::from_static("x-pomelo-servers");
@@ -26,6 +29,9 @@
 /// daemon that sends the configuration.
 pub static PROOF_AGE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-proof-age");
 
+/// Number of last fields of [`Handoff`] that a daemon of an older version may leave out, each of one byte.
+const HANDOFF_PADDING: usize = 2;
+
 /// What the daemon beside the server needs to know to run a request. Encoded with postcard, so fields must
 /// keep their order.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -55,6 +61,18 @@
     /// Whether another server may have run the request before. Daemons of an older version don't send it. New
     /// fields must be added after this one: daemons of an older version ignore trailing bytes.
     pub is_repeat: bool,
+    /// Run time that the caller's daemon expects at an average server; `None` if it has seen too few runs of the
+    /// route. Daemons of an older version don't send it.
+    pub cost: Option<Duration>,
+}
+
+/// Time of a run that has ended. Encoded with postcard, so fields must keep their order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunTime {
+    /// Time for which the request held its slot.
+    pub took: Duration,
+    /// Time that an average server would have needed, as far as the server's daemon can tell.
+    pub cost: Duration,
 }
 
 /// Whether a request may run more than once.
@@ -142,11 +160,17 @@
     pub waiting: u16,
     /// Number of requests that the server can run concurrently.
     pub slots: u16,
-    /// Mean run time in milliseconds, raised while the server sheds requests or has one that runs unusually
-    /// long.
-    pub mean_run_ms: u16,
+    /// Factor, in percent, by which the server takes longer than others for the same requests; 0 if it is not
+    /// known. Raised while the server has a request that runs unusually long.
+    pub slowness_percent: u16,
     /// Health of the server, judged by the outcome of its requests.
     pub condition: ServerCondition,
+    /// Work of the running and waiting requests, in milliseconds for one slot.
+    pub work_ms: u32,
+    /// Part of `work_ms` that a new call of a running request does not pass.
+    pub work_before_calls_ms: u32,
+    /// Share of the latest requests that the server refused to run, in percent.
+    pub shed_percent: u8,
 }
 
 impl ServerReport {
@@ -160,13 +184,22 @@
         Self { condition, ..self }
     }
 
-    /// Load of the server, with `pending` hand-offs that the report doesn't include yet.
-    pub fn load(&self, pending: u32) -> ServerLoad {
+    /// Load of the server, with `pending` hand-offs that the report doesn't include yet and that would take
+    /// `pending_work` at an average server.
+    pub fn load(&self, pending: u32, pending_work: Duration) -> ServerLoad {
+        let slowness = (self.slowness_percent > 0).then(|| f64::from(self.slowness_percent) / 100.0);
+        let pending_work = pending_work.mul_f64(slowness.unwrap_or(1.0));
+        let with_pending = |work_ms: u32| Duration::from_millis(u64::from(work_ms)) + pending_work;
         ServerLoad {
             running: u32::from(self.running) + pending,
             waiting: u32::from(self.waiting),
             slots: u32::from(self.slots),
-            mean_run: Duration::from_millis(u64::from(self.mean_run_ms)),
+            work: SlotWork {
+                total: with_pending(self.work_ms),
+                before_calls: with_pending(self.work_before_calls_ms),
+            },
+            slowness,
+            shed_share: f64::from(self.shed_percent) / 100.0,
         }
     }
 }
@@ -195,8 +228,8 @@
 /// Removes the header with a [`Handoff`] and decodes it; `None` if it is missing or malformed.
 pub fn take_handoff(headers: &mut HeaderMap) -> Option<Handoff> {
     let mut bytes = take_bytes(headers, &HANDOFF_HEADER)?;
-    // Stands for the last field, which daemons of an older version don't send.
-    bytes.push(0);
+    // Stand for the last fields, which daemons of an older version don't send.
+    bytes.extend([0; HANDOFF_PADDING]);
     postcard::from_bytes(&bytes).ok()
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -63,7 +63,6 @@
 pub mod pipeline;
 pub mod pool;
 pub mod registration;
-pub mod run_times;
 mod shared_stream;
 pub mod slot;
 pub mod socket;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -27,7 +27,7 @@
 use crate::exec::LocalExec;
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, PROOF_AGE_HEADER, REPORT_HEADER,
-    RUN_ERROR_HEADER, RunError,
+    RUN_ERROR_HEADER, RUN_TIME_HEADER, RunError, RunTime,
 };
 use crate::node::Node;
 use crate::socket;
@@ -237,6 +237,9 @@
     };
     let report = node.local_server.report(Instant::now()).without_probation();
     handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &report);
+    if let Some(run_time) = rep.extensions().get::<RunTime>().copied() {
+        handoff::insert_header(rep.headers_mut(), &RUN_TIME_HEADER, &run_time);
+    }
     rep
 }
 
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -15,19 +15,18 @@
 use health::{GrayFilter, RequestOutcome};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
-use route::SlotQueue;
 use route::placement::ServerCondition;
 use route::slot_queue::{Dequeued, OfferOutcome, SlotRequest, Ticket};
+use route::{CostEstimator, RunEstimate, SlotQueue, SpeedEstimator};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout_at;
 
 use crate::body::Body;
 use crate::exchange::ServerExchange;
-use crate::handoff::{DeclineReason, Handoff, Repetition, RunError, ServerReport};
+use crate::handoff::{DeclineReason, Handoff, Repetition, RunError, RunTime, ServerReport};
 use crate::header_names::HeaderNames;
 use crate::pool::Pool;
 use crate::registration::{Departure, Heartbeat, HeartbeatOutcome, Registration, ServerIncarnation};
-use crate::run_times::RunTimes;
 use crate::slot::RunningRequest;
 
 /// Longest idle time of a connection that may carry a request which must run at most once. The server may
@@ -45,9 +44,6 @@
 const IDLE_AFTER: Duration = Duration::from_millis(900);
 /// Weight of a new request in the moving share of requests that the server sheds.
 const SHED_WEIGHT: f64 = 0.1;
-/// Number of mean run times that are added to the reported mean run time of a server which sheds all
-/// requests.
-const SHED_SLOWDOWN: f64 = 4.0;
 /// Shortest time for which a request waits for a slot before it is declined and may go to another server.
 const MIN_SLOT_WAIT: Duration = Duration::from_millis(150);
 /// Multiple of the expected wait for a slot after which a waiting request is declined.
@@ -66,7 +62,9 @@
     /// it that the server takes no more work.
     waiters: HashMap<Ticket, oneshot::Sender<bool>>,
     gray_filter: GrayFilter,
-    run_times: RunTimes,
+    /// Run time of each route at an average server.
+    costs: CostEstimator,
+    speed: SpeedEstimator,
     /// Set by a failed attempt to connect. Until this time the server counts as suspect and is not probed.
     down_until: Option<Instant>,
     /// The request that probes the suspect server, if one is running or waiting.
@@ -80,6 +78,14 @@
 }
 
 impl State {
+    /// Estimate of a run at this server: by its own runs, else by what the caller's daemon has learned, else by
+    /// the objective.
+    fn estimate(&self, handoff: &Handoff) -> RunEstimate {
+        let learned = self.costs.recorded(handoff.route_hash).or(handoff.cost.map(RunEstimate::from));
+        let average = learned.unwrap_or_else(|| RunEstimate::from_objective(handoff.objective));
+        average.at_slowness(self.speed.slowness())
+    }
+
     fn condition(&self, now: Instant) -> ServerCondition {
         let is_down = self.down_until.is_some_and(|until| now < until);
         let is_idle = now.saturating_duration_since(self.last_offered_at) > IDLE_AFTER;
@@ -121,7 +127,8 @@
             queue: SlotQueue::new(INITIAL_SLOTS),
             waiters: HashMap::new(),
             gray_filter: GrayFilter::new(now),
-            run_times: RunTimes::default(),
+            costs: CostEstimator::default(),
+            speed: SpeedEstimator::default(),
             down_until: None,
             probe: None,
             next_probe_at: now,
@@ -151,7 +158,8 @@
         match outcome {
             HeartbeatOutcome::Registered => {
                 state.gray_filter = GrayFilter::new(now);
-                state.run_times = RunTimes::default();
+                state.costs = CostEstimator::default();
+                state.speed = SpeedEstimator::default();
                 state.down_until = None;
                 self.pool.clear();
                 event!(Info, ServerAnnounced, "server={id} born={born} sequence={sequence} slots={slots}");
@@ -255,15 +263,21 @@
     pub fn report(&self, now: Instant) -> ServerReport {
         let state = self.state.borrow();
         let takes_work = state.registration.server().is_some_and(|s| !s.heartbeat.draining);
-        let mean = state.run_times.mean().max(state.queue.longest_run(now) / 2);
-        let mean = mean.mul_f64(1.0 + SHED_SLOWDOWN * state.shed_share);
+        let overrun = state.queue.longest_overrun(now);
+        let is_known = state.speed.has_runs() || overrun > 1.0;
+        let slowness = if is_known { state.speed.slowness() * overrun.max(1.0) } else { 0.0 };
+        let work = state.queue.work(now);
+        let whole_ms = |work: Duration| u32::try_from(work.as_millis()).unwrap_or(u32::MAX);
         ServerReport {
             takes_work: takes_work && self.knows_departures.get() && !self.is_stopping.get(),
             running: state.queue.running() as u16,
             waiting: state.queue.waiting() as u16,
             slots: state.queue.slots() as u16,
-            mean_run_ms: mean.as_millis().min(u128::from(u16::MAX)) as u16,
+            slowness_percent: (slowness * 100.0).round() as u16,
             condition: state.condition(now),
+            work_ms: whole_ms(work.total),
+            work_before_calls_ms: whole_ms(work.before_calls),
+            shed_percent: (state.shed_share * 100.0).round() as u8,
         }
     }
 
@@ -295,7 +309,7 @@
             Err(_late) => return Err(RunError::declined(DeclineReason::Unreachable)),
         };
         let sent_at = Instant::now();
-        let expected_run = self.state.borrow().run_times.expected_run(handoff.route_hash, handoff.objective);
+        let expected_run = self.state.borrow().estimate(handoff).mean();
         let _counted = handoff.is_repeat.then(|| RunningRepeat::start(&self.running_repeats));
         let exchange = ServerExchange { handoff, run, conn, sent_at, expected_run, deadline };
         exchange.run(req).await
@@ -363,12 +377,14 @@
             return Err(RunError::declined(DeclineReason::Suspect));
         }
         state.last_offered_at = now;
+        let estimate = state.estimate(handoff);
         let request = SlotRequest {
             priority: handoff.priority,
             nested: handoff.nested,
             objective_at: now + handoff.objective_left,
             deadline,
-            expected_run: state.run_times.expected_run(handoff.route_hash, handoff.objective),
+            expected_run: estimate.mean(),
+            estimate,
         };
         let time_needed =
             || state.queue.expected_wait(&request, now) + request.expected_run * STOP_RUN_TIME_FACTOR;
@@ -391,13 +407,26 @@
         }
         drop(state);
         let local_server = Rc::clone(self);
-        let run = RunningRequest::new(local_server, ticket, server, now, handoff.route_hash);
+        let run = RunningRequest::new(local_server, ticket, server, now, handoff);
         Ok((run, pending))
     }
 
-    /// Records the run time of a request whose answer is complete.
-    pub(crate) fn record_run_time(&self, route_hash: u32, took: Duration) {
-        self.state.borrow_mut().run_times.record(route_hash, took);
+    /// Records the run time of a request whose answer is complete. `expected` is the time that the caller's
+    /// daemon expects of an average server, if it has learned it.
+    pub(crate) fn record_run_time(
+        &self,
+        route_hash: u32,
+        took: Duration,
+        expected: Option<Duration>,
+    ) -> RunTime {
+        let mut state = self.state.borrow_mut();
+        // The speed by earlier runs: a long run must not lower its own cost.
+        let cost = took.div_f64(state.speed.slowness());
+        state.costs.record(route_hash, cost);
+        if let Some(expected) = expected {
+            state.speed.record(took, expected);
+        }
+        RunTime { took, cost }
     }
 
     /// Frees a request's slot, or its place in the queue, and starts waiting requests.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -8,6 +8,9 @@
 /// Upper bounds of the buckets for request times, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0];
 
+/// Upper bounds of the buckets for run times divided by the expected ones.
+const RUN_RATIO_BOUNDS: [f64; 11] = [0.05, 0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0, 16.0, 32.0];
+
 /// Metrics of one daemon.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -36,6 +39,8 @@
     pub cancelled: IntCounter,
     /// Time from receiving a request to the head of its answer.
     pub request_seconds: Histogram,
+    /// Run times divided by the time that this daemon expected of an average server when it placed the request.
+    pub run_ratio: Histogram,
     /// Time from the first word of a newer configuration until it is in force, in seconds; 0 for one that came
     /// without such a word, from the store.
     pub config_delay_seconds: Histogram,
@@ -68,6 +73,10 @@
             registry.register(Box::new(metric.clone())).expect("the name is registered once");
             metric
         };
+        let run_ratio_opts = HistogramOpts::new("pomelo_run_ratio", "Run time divided by the expected one.");
+        let run_ratio = Histogram::with_opts(run_ratio_opts.buckets(RUN_RATIO_BOUNDS.to_vec()));
+        let run_ratio = run_ratio.expect("the bucket bounds are in ascending order");
+        registry.register(Box::new(run_ratio.clone())).expect("the name is registered once");
         let repeated_calls = Counter::new("pomelo_repeated_calls_total", "Calls for runs that were repeats.");
         let repeated_calls = repeated_calls.expect("the name is a valid metric name");
         registry.register(Box::new(repeated_calls.clone())).expect("the name is registered once");
@@ -81,6 +90,7 @@
             handoffs: by_label("pomelo_handoffs_total", "Hand-offs to other daemons.", "distance"),
             report_age_seconds: histogram("pomelo_report_age_seconds", "Age of the report behind a choice."),
             refusal_seconds,
+            run_ratio,
             datagram_bytes: by_label("pomelo_datagram_bytes_total", "Bytes of datagrams sent.", "kind"),
             declines: by_reason("pomelo_declines_total", "Hand-offs that were declined."),
             retries: by_reason("pomelo_retries_total", "Further tries of requests."),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,7 +13,7 @@
 use derive_more::Debug;
 use limit::{LocalBuckets, QuotaTolerance};
 use rand::Rng;
-use route::RetryBudget;
+use route::{CostEstimator, RetryBudget};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -33,7 +33,6 @@
 use crate::local_server::LocalServer;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::run_times::RunTimes;
 
 /// Shortest time between two requests for tokens of the same customer to other data centres.
 const REFILL_INTERVAL: Duration = Duration::from_millis(200);
@@ -123,7 +122,9 @@
     /// Hashes of the names of routes on which an answer was too large to be buffered.
     pub(crate) streamed_routes: RefCell<HashSet<u32>>,
     /// Time from hand-off to answer for each route, over all servers.
-    pub(crate) answer_times: RefCell<RunTimes>,
+    pub(crate) answer_times: RefCell<CostEstimator>,
+    /// Run time of each route at an average server, without the wait for a slot.
+    pub(crate) costs: RefCell<CostEstimator>,
     /// When tokens of a customer were last requested from another data centre.
     last_refills: RefCell<HashMap<CustomerId, Instant>>,
     /// Set once the UDP socket is bound.
@@ -174,6 +175,7 @@
             response_sizes: RefCell::default(),
             streamed_routes: RefCell::default(),
             answer_times: RefCell::default(),
+            costs: RefCell::default(),
             last_refills: RefCell::default(),
             gossip: RefCell::default(),
             retry_budgets: RefCell::default(),
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -4,6 +4,7 @@
 
 use base::{DaemonId, Place, ServiceId, Version};
 use route::placement::{ServerCondition, ServerLoad};
+use route::slot_queue::SlotWork;
 
 use crate::clock::BootTime;
 use crate::datagram::{Incarnation, PeerInfo};
@@ -12,8 +13,6 @@
 /// Age of a report up to which a server of another data centre is chosen by it. Two digests may be lost
 /// meanwhile.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(4);
-/// Assumed mean run time of a server whose report is not known.
-const DEFAULT_MEAN_RUN: Duration = Duration::from_millis(400);
 /// Assumed number of slots of a server whose report is not known.
 const DEFAULT_SLOTS: u32 = 4;
 
@@ -36,6 +35,8 @@
     pub(crate) member_count: u32,
     /// Number of hand-offs to the daemon since its last report, which doesn't include them.
     pub(crate) pending: u32,
+    /// Work of the `pending` hand-offs at an average server.
+    pub(crate) pending_work: Duration,
     /// When a request was last handed to the daemon.
     pub(crate) handed_off_at: Option<Instant>,
     pub(crate) last_status_at: Option<Instant>,
@@ -61,6 +62,7 @@
             version: 0,
             member_count: 0,
             pending: 0,
+            pending_work: Duration::ZERO,
             handed_off_at: None,
             last_status_at: None,
             last_sent_at: None,
@@ -73,9 +75,10 @@
     pub(crate) fn load(&self) -> ServerLoad {
         let Some(report) = self.report else {
             let (running, slots) = (self.pending, DEFAULT_SLOTS);
-            return ServerLoad { running, waiting: 0, slots, mean_run: DEFAULT_MEAN_RUN };
+            let work = SlotWork { total: self.pending_work, before_calls: self.pending_work };
+            return ServerLoad { running, waiting: 0, slots, work, slowness: None, shed_share: 0.0 };
         };
-        report.load(self.pending)
+        report.load(self.pending, self.pending_work)
     }
 
     /// Condition of the daemon's server. An idle server counts as healthy once this daemon has handed work to
@@ -103,6 +106,18 @@
         self.report = self.report.map(ServerReport::without_probation);
     }
 
+    /// Takes one hand-off, which has been answered, out of those that the report doesn't include.
+    pub(crate) fn record_answer(&mut self) {
+        self.pending_work -= self.pending_work / self.pending.max(1);
+        self.pending = self.pending.saturating_sub(1);
+    }
+
+    /// Forgets the hand-offs that a new report includes.
+    pub(crate) fn clear_pending(&mut self) {
+        self.pending = 0;
+        self.pending_work = Duration::ZERO;
+    }
+
     /// Applies a report that the daemon itself has just sent.
     pub(crate) fn apply_report(&mut self, report: ServerReport, now: Instant) {
         self.report = Some(report);
@@ -122,7 +137,7 @@
         }
         self.apply_report(report, reported_at);
         if self.handed_off_at.is_none_or(|at| at < reported_at) {
-            self.pending = 0;
+            self.clear_pending();
         }
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -126,7 +126,7 @@
         peer.apply_report(status.report, now);
         peer.version = status.version;
         peer.member_count = u32::from(status.member_count);
-        peer.pending = 0;
+        peer.clear_pending();
         peer.last_status_at = Some(now);
         peer.last_sent_at = Some(status.sent_at);
         peer.receives_from_us = status.receives_from_you;
@@ -140,7 +140,7 @@
     pub fn record_report(&mut self, from: DaemonId, report: ServerReport, now: Instant) {
         if let Some(peer) = self.by_addr.get_mut(&from) {
             peer.apply_report(report, now);
-            peer.pending = peer.pending.saturating_sub(1);
+            peer.record_answer();
         }
     }
 
@@ -172,6 +172,13 @@
         }
     }
 
+    /// Counts the work of a hand-off that [`Self::record_handoff`] has counted, as `work` at an average server.
+    pub fn add_pending_work(&mut self, to: DaemonId, work: Duration) {
+        if let Some(peer) = self.by_addr.get_mut(&to) {
+            peer.pending_work += work;
+        }
+    }
+
     /// Pauses hand-offs to a daemon after one could not be delivered.
     pub fn record_path_failure(&mut self, to: DaemonId, now: Instant) {
         if let Some(peer) = self.by_addr.get_mut(&to) {
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -7,6 +7,7 @@
 use health::RequestOutcome;
 use route::slot_queue::Ticket;
 
+use crate::handoff::{Handoff, RunTime};
 use crate::local_server::LocalServer;
 use crate::pool::Conn;
 
@@ -19,6 +20,8 @@
     pub(crate) server: ServerId,
     started: Instant,
     route_hash: u32,
+    /// Run time that the caller's daemon expects at an average server, if it has learned it.
+    cost: Option<Duration>,
     /// Connection that carries the answer, to be reused once the answer is complete.
     pub(crate) conn: Option<Conn>,
     /// Idle timeout that the server states.
@@ -31,9 +34,10 @@
         ticket: Ticket,
         server: ServerId,
         started: Instant,
-        route_hash: u32,
+        handoff: &Handoff,
     ) -> Self {
-        Self { local_server, ticket, server, started, route_hash, conn: None, keep_alive: None }
+        let Handoff { route_hash, cost, .. } = *handoff;
+        Self { local_server, ticket, server, started, route_hash, cost, conn: None, keep_alive: None }
     }
 
     /// Measures the run time from `now`, when the request got its slot after a wait.
@@ -42,17 +46,15 @@
     }
 
     /// Ends the run and records its outcome. `is_whole` tells whether the answer is complete; false if it
-    /// broke off.
-    pub fn finish(mut self, is_whole: bool, now: Instant) {
+    /// broke off. Returns the time of a run with a complete answer.
+    pub fn finish(mut self, is_whole: bool, now: Instant) -> Option<RunTime> {
         let outcome = if is_whole { RequestOutcome::Success } else { RequestOutcome::Failure };
         self.local_server.record_outcome(outcome, now);
         if let Some(conn) = self.conn.take().filter(|_| is_whole) {
             self.local_server.pool.put(conn, self.keep_alive, now);
         }
-        if is_whole {
-            let took = now.saturating_duration_since(self.started);
-            self.local_server.record_run_time(self.route_hash, took);
-        }
+        let took = now.saturating_duration_since(self.started);
+        is_whole.then(|| self.local_server.record_run_time(self.route_hash, took, self.cost))
     }
 }
 
--- a/crates/relay/tests/digest.rs
+++ b/crates/relay/tests/digest.rs
@@ -39,8 +39,11 @@
         running,
         waiting: 0,
         slots: 5,
-        mean_run_ms: 400,
+        slowness_percent: 100,
         condition: ServerCondition::Healthy,
+        work_ms: u32::from(running) * 400,
+        work_before_calls_ms: u32::from(running) * 400,
+        shed_percent: 0,
     }
 }
 
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -24,8 +24,11 @@
         running: 0,
         waiting: 0,
         slots: 5,
-        mean_run_ms: 400,
+        slowness_percent: 100,
         condition: ServerCondition::Healthy,
+        work_ms: 0,
+        work_before_calls_ms: 0,
+        shed_percent: 0,
     };
     Status {
         incarnation: 1,
--- a/crates/relay/tests/requests.rs
+++ b/crates/relay/tests/requests.rs
@@ -575,6 +575,7 @@
         repetition: Repetition::Allowed,
         allow_suspect: false,
         is_repeat: false,
+        cost: None,
         objective: Duration::from_secs(1),
         objective_left: Duration::ZERO,
         deadline_left: Duration::from_secs(5),
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -79,16 +79,13 @@
         }
         let at = elapsed.as_secs_f32() / self.mean_s;
         let above = ELAPSED_POINTS.iter().position(|point| at < *point);
-        let remaining = match above {
-            Some(i) => {
-                let (low, high) = (ELAPSED_POINTS[i - 1], ELAPSED_POINTS[i]);
-                let part = (at - low) / (high - low);
-                self.remaining[i - 1] + part * (self.remaining[i] - self.remaining[i - 1])
-            }
-            None => {
-                let last = ELAPSED_POINTS.len() - 1;
-                self.remaining[last] + at - ELAPSED_POINTS[last]
-            }
+        let remaining = if let Some(i) = above {
+            let (low, high) = (ELAPSED_POINTS[i - 1], ELAPSED_POINTS[i]);
+            let part = (at - low) / (high - low);
+            self.remaining[i - 1] + part * (self.remaining[i] - self.remaining[i - 1])
+        } else {
+            let last = ELAPSED_POINTS.len() - 1;
+            self.remaining[last] + at - ELAPSED_POINTS[last]
         };
         Duration::from_secs_f32(remaining * self.mean_s)
     }
@@ -257,6 +254,11 @@
         self.ratios = self.ratios * (1.0 - f64::from(DECAY)) + ratio;
     }
 
+    /// Whether any run was recorded.
+    pub fn has_runs(&self) -> bool {
+        self.weight > 0.0
+    }
+
     /// Factor by which the server is slower than others; 1 before any run.
     pub fn slowness(&self) -> f64 {
         let slowness = (self.ratios + SPEED_PRIOR_RUNS) / (self.weight + SPEED_PRIOR_RUNS);
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -3,13 +3,15 @@
 //! The rules and the load patterns that they are made for:
 //!
 //! - A backlog at one server: the expected completion time decides, not the number of requests alone.
+//! - Requests of one route differ in cost, and routes differ: the work that a server still has to do counts, not
+//!   the number of its requests.
 //! - Many daemons act on equally old load reports: each draws a few candidates at random, so that they do not
 //!   all pick the same one.
 //! - A server once seemed slow: it gets some requests after a while without any, so that the estimate can be
 //!   corrected and no healthy capacity lies idle.
 //! - Many servers in several data centres are equally loaded: a request leaves its data centre only if it might
 //!   miss its objective there, and then for a gain that is worth its bytes.
-//! - Short calls and long requests share servers: the run time of the request's route counts, not the mean of all.
+//! - Short calls and long requests share servers: the cost of the request's route counts, not the mean of all.
 //! - Servers elsewhere were loaded or failing when they last reported, or never reported: only those with a recent
 //!   report are chosen while there are any, since each wrong choice costs a journey.
 //! - A region has too few servers: requests cross the link to another region only if the near servers would
@@ -22,6 +24,9 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::cost::SLOWNESS_BOUNDS;
+use crate::slot_queue::SlotWork;
+
 /// Candidates drawn at random in this data centre, whose reports are recent.
 const DRAWN_NEAR: usize = 3;
 /// Candidates drawn at random in other data centres, whose reports are older.
@@ -29,8 +34,6 @@
 /// Part of the time left to the objective within which a server of this data centre must be expected to finish
 /// for no other data centre to be considered.
 const NEAR_ENOUGH_PART: f64 = 0.3;
-/// Bounds of the factor by which a server is taken to be slower than others.
-const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 16.0);
 /// Penalty on the expected completion in another data centre of the region.
 const OTHER_DATA_CENTRE_PENALTY: Duration = Duration::from_millis(80);
 /// Further penalty in another data centre for each kilobyte of request and answer.
@@ -44,6 +47,11 @@
 const MAX_KILOBYTES: u64 = 10_000;
 /// Penalty on a server with all slots in use, as a part of the run time.
 const FULL_USE_PENALTY: f64 = 0.5;
+/// Number of expected times until completion that a server adds which sheds all requests.
+const SHED_SLOWDOWN: f64 = 4.0;
+/// Time that a shed costs however short the run is: the request is handed to another server, perhaps in another
+/// data centre.
+const SHED_PENALTY: Duration = Duration::from_millis(80);
 /// Probability that a repeatable request goes to a suspect server that asks for probes.
 const PROBE_PROBABILITY: f64 = 0.3;
 
@@ -98,8 +106,13 @@
     pub waiting: u32,
     /// Requests that the server can run at the same time.
     pub slots: u32,
-    /// Mean run time of a request.
-    pub mean_run: Duration,
+    /// Work of these requests, with those sent to the server since it was reported.
+    pub work: SlotWork,
+    /// Factor by which the server is slower than others; `None` if it has not run enough to tell, and counts as
+    /// an average one.
+    pub slowness: Option<f64>,
+    /// Share of the requests that the server refuses to run, 0 to 1.
+    pub shed_share: f64,
 }
 
 /// A server that may be chosen.
@@ -130,8 +143,6 @@
     pub objective_left: Duration,
     /// Expected run time at an average server.
     pub expected_run: Duration,
-    /// Mean run time of all requests at an average server, as by [`typical_run`]. Not zero.
-    pub typical_run: Duration,
     /// Expected size of the request and its answer together.
     pub bytes: u64,
 }
@@ -205,13 +216,6 @@
         .map(|c| c.index)
 }
 
-/// Mean run time of all requests at an average known server among `candidates`.
-pub fn typical_run(candidates: &[Candidate]) -> Option<Duration> {
-    let known = candidates.iter().filter(|c| c.is_known);
-    let (count, sum) = known.fold((0, Duration::ZERO), |(n, sum), c| (n + 1, sum + c.load.mean_run));
-    sum.checked_div(count).filter(|mean| !mean.is_zero())
-}
-
 /// With the given probability, one of the region's reachable servers for which `is_wanted` is true.
 fn draw_with_probability(
     candidates: &[Candidate],
@@ -258,14 +262,15 @@
 /// Expected time until the answer of a request that is placed at `candidate`, plus penalties for the distance
 /// that its bytes travel.
 pub fn expected_completion(candidate: &Candidate, requirements: &Requirements) -> Duration {
-    let ServerLoad { running, waiting, slots, mean_run } = candidate.load;
-    let waiting = if requirements.nested { 0 } else { waiting };
+    let ServerLoad { running, waiting, slots, work, slowness, shed_share } = candidate.load;
+    let (waiting, work) = if requirements.nested { (0, work.before_calls) } else { (waiting, work.total) };
     let slots = slots.max(1);
     let present = running + waiting;
+    // Of the requests present, as many as this must end before the new one gets a slot.
     let queued = (present + 1).saturating_sub(slots);
-    let wait = mean_run * queued / slots;
-    let slowness = mean_run.as_secs_f64() / requirements.typical_run.as_secs_f64();
-    let run = requirements.expected_run.mul_f64(slowness.clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1));
+    let wait = work / slots * queued / present.max(1);
+    let slowness = slowness.unwrap_or(1.0).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
+    let run = requirements.expected_run.mul_f64(slowness);
     let use_share = (f64::from(present) / f64::from(slots)).min(1.0);
     let kilobytes = (requirements.bytes / 1_024).min(MAX_KILOBYTES) as u32;
     let penalty = match candidate.distance {
@@ -274,5 +279,6 @@
         Distance::SameRegion => OTHER_DATA_CENTRE_PENALTY + OTHER_DATA_CENTRE_PENALTY_PER_KB * kilobytes,
         Distance::OtherRegion => OTHER_REGION_PENALTY + OTHER_REGION_PENALTY_PER_KB * kilobytes,
     };
-    penalty + wait + run + run.mul_f64(FULL_USE_PENALTY * use_share)
+    let completion = wait + run + run.mul_f64(FULL_USE_PENALTY * use_share);
+    penalty + completion.mul_f64(1.0 + SHED_SLOWDOWN * shed_share) + SHED_PENALTY.mul_f64(shed_share)
 }
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -12,14 +12,15 @@
 use smallvec::SmallVec;
 
 use crate::cold_gate::ColdGate;
+use crate::cost::RunEstimate;
 
 /// Identifies a request in a queue. A queue never uses a ticket twice.
 pub type Ticket = u64;
 
 /// Requests that may wait for each slot.
 const MAX_WAITING_PER_SLOT: usize = 8;
-/// Lower bound of the time that a run is expected to need still, as a part of its expected run time.
-const MIN_REMAINING_PART: f64 = 0.25;
+/// Lower bound, in seconds, of the time from which a run counts as unusually long.
+const MIN_UNUSUAL_S: f64 = 0.001;
 
 /// What is known about a request when it asks for a slot.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +35,9 @@
     pub deadline: Instant,
     /// Time that the server is expected to need for the request.
     pub expected_run: Duration,
+    /// Run times of such requests at the server, with `expected_run` as mean. Tells how long the request takes
+    /// still once it runs.
+    pub estimate: RunEstimate,
 }
 
 /// Result of [`SlotQueue::offer`].
@@ -59,6 +63,15 @@
     TooLate(Ticket),
 }
 
+/// Work that a server still has to do, as time for one slot.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotWork {
+    /// Work of all requests that run or wait.
+    pub total: Duration,
+    /// Part of `total` that a new call of a running request does not pass.
+    pub before_calls: Duration,
+}
+
 #[derive(Debug)]
 struct WaitingRequest {
     ticket: Ticket,
@@ -69,7 +82,7 @@
 struct RunningRequest {
     ticket: Ticket,
     started: Instant,
-    expected_run: Duration,
+    estimate: RunEstimate,
 }
 
 /// Requests that wait for the slots of one server or hold them.
@@ -215,15 +228,28 @@
         free_in
     }
 
-    /// Time for which the oldest running request has held its slot.
-    pub fn longest_run(&self, now: Instant) -> Duration {
-        let runs = self.running.iter().map(|r| now.saturating_duration_since(r.started));
-        runs.max().unwrap_or_default()
+    /// Work that the server still has to do.
+    pub fn work(&self, now: Instant) -> SlotWork {
+        let running = self.running.iter().map(|r| remaining_run(r, now)).sum::<Duration>();
+        let calls = self.waiting.iter().map(|w| &w.request).filter(|r| r.nested);
+        let calls = calls.map(|r| r.expected_run).sum::<Duration>();
+        let waiting = self.waiting.iter().map(|w| w.request.expected_run).sum::<Duration>();
+        SlotWork { total: running + waiting, before_calls: running + calls }
+    }
+
+    /// Largest factor by which a running request exceeds the time from which it counts as unusually long; below
+    /// 1 if none does.
+    pub fn longest_overrun(&self, now: Instant) -> f64 {
+        let overrun = |r: &RunningRequest| {
+            let elapsed = now.saturating_duration_since(r.started).as_secs_f64();
+            elapsed / r.estimate.unusual_after().as_secs_f64().max(MIN_UNUSUAL_S)
+        };
+        self.running.iter().map(overrun).fold(0.0, f64::max)
     }
 
     fn start(&mut self, ticket: Ticket, request: &SlotRequest, now: Instant) {
         self.gate.record_start(now);
-        self.running.push(RunningRequest { ticket, started: now, expected_run: request.expected_run });
+        self.running.push(RunningRequest { ticket, started: now, estimate: request.estimate });
     }
 }
 
@@ -234,13 +260,7 @@
     (Reverse(request.nested), request.priority, is_late, due)
 }
 
-/// Expected remaining time of a run, never below [`MIN_REMAINING_PART`]. A run that has exceeded its expected
-/// time is taken to exceed it by as much again.
+/// Expected remaining time of a run.
 fn remaining_run(run: &RunningRequest, now: Instant) -> Duration {
-    let elapsed = now.saturating_duration_since(run.started);
-    let min_remaining = run.expected_run.mul_f64(MIN_REMAINING_PART);
-    match elapsed.checked_sub(run.expected_run) {
-        Some(overrun) => overrun + min_remaining,
-        None => run.expected_run.saturating_sub(elapsed).max(min_remaining),
-    }
+    run.estimate.remaining(now.saturating_duration_since(run.started))
 }
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -7,14 +7,22 @@
 use route::placement::{
     Candidate, Distance, Requirements, ServerCondition, ServerLoad, expected_completion, place_request,
 };
+use route::slot_queue::SlotWork;
 
 const ROUNDS: usize = 1_000;
 
+/// Load of a server whose requests take 400 ms still on the mean at an average server.
+fn load(running: u32, waiting: u32, slowness: f64) -> ServerLoad {
+    let mean = Duration::from_millis(400).mul_f64(slowness);
+    let work = SlotWork { total: mean * (running + waiting), before_calls: mean * running };
+    ServerLoad { running, waiting, slots: 5, work, slowness: Some(slowness), shed_share: 0.0 }
+}
+
 fn candidate(index: usize, distance: Distance, running: u32) -> Candidate {
     Candidate {
         index,
         distance,
-        load: ServerLoad { running, waiting: 0, slots: 5, mean_run: Duration::from_millis(400) },
+        load: load(running, 0, 1.0),
         condition: ServerCondition::Healthy,
         reachable: true,
         is_known: true,
@@ -27,7 +35,6 @@
         nested: false,
         objective_left: Duration::from_millis(1_500),
         expected_run: Duration::from_millis(400),
-        typical_run: Duration::from_millis(400),
         bytes: 2_000,
     }
 }
@@ -125,7 +132,7 @@
 
 #[test]
 fn an_idle_healthy_server_gets_requests_although_it_once_seemed_slow() {
-    let slow = ServerLoad { running: 0, waiting: 0, slots: 5, mean_run: Duration::from_secs(5) };
+    let slow = load(0, 0, 12.5);
     let idle = Candidate {
         load: slow,
         condition: ServerCondition::Idle,
@@ -171,7 +178,7 @@
 fn a_nested_request_does_not_mind_the_requests_that_it_passes() {
     let with_queue = |index, waiting, running| {
         let plain = candidate(index, Distance::SameDataCentre, running);
-        Candidate { load: ServerLoad { waiting, ..plain.load }, ..plain }
+        Candidate { load: load(running, waiting, 1.0), ..plain }
     };
     let candidates = [with_queue(0, 20, 4), with_queue(1, 0, 5)];
     let nested = Requirements { nested: true, ..requirements() };
@@ -207,8 +214,38 @@
 
 #[test]
 fn a_server_that_is_slower_than_others_is_expected_to_take_longer() {
-    let slow = ServerLoad { running: 0, waiting: 0, slots: 5, mean_run: Duration::from_secs(4) };
+    let slow = load(0, 0, 10.0);
     let slow = Candidate { load: slow, ..candidate(0, Distance::SameDataCentre, 0) };
     let candidates = [slow, candidate(1, Distance::SameDataCentre, 4)];
     assert_eq!(chosen(&candidates, &requirements())[1], ROUNDS);
 }
+
+#[test]
+fn a_server_with_few_long_requests_is_avoided_for_one_with_more_short_ones() {
+    let with_work = |index, running, work_ms| {
+        let plain = candidate(index, Distance::SameDataCentre, running);
+        let total = Duration::from_millis(work_ms);
+        let work = SlotWork { total, before_calls: total };
+        Candidate { load: ServerLoad { work, ..plain.load }, ..plain }
+    };
+    let candidates = [with_work(0, 6, 30_000), with_work(1, 9, 2_000)];
+    assert_eq!(chosen(&candidates, &requirements())[1], ROUNDS);
+}
+
+#[test]
+fn a_server_without_runs_counts_as_an_average_one() {
+    let average = candidate(0, Distance::SameDataCentre, 2);
+    let new = Candidate { load: ServerLoad { slowness: None, ..average.load }, ..average };
+    let requirements = requirements();
+    assert_eq!(expected_completion(&new, &requirements), expected_completion(&average, &requirements));
+}
+
+/// A shed costs a retry, however short the run would have been.
+#[test]
+fn a_short_request_avoids_a_server_that_sheds_a_tenth() {
+    let plain = candidate(0, Distance::SameInstance, 0);
+    let shedding = Candidate { load: ServerLoad { shed_share: 0.1, ..plain.load }, ..plain };
+    let short = Requirements { expected_run: Duration::from_millis(2), ..requirements() };
+    let candidates = [shedding, candidate(1, Distance::SameDataCentre, 0)];
+    assert_eq!(chosen(&candidates, &short)[1], ROUNDS);
+}
--- a/crates/route/tests/slot_queue.rs
+++ b/crates/route/tests/slot_queue.rs
@@ -15,6 +15,7 @@
         objective_at: now + Duration::from_millis(objective_ms),
         deadline: now + Duration::from_millis(deadline_ms),
         expected_run: Duration::from_millis(100),
+        estimate: Duration::from_millis(100).into(),
     }
 }
 
@@ -229,3 +230,36 @@
     let call = SlotRequest { nested: true, ..request(now, 1, 100, 130) };
     waiting(queue.offer(call, now));
 }
+
+#[test]
+fn the_work_counts_what_runs_take_still_and_what_waits() {
+    let start = Instant::now();
+    let mut queue = staggered(start);
+    let now = start + Duration::from_millis(90);
+    let call = SlotRequest { nested: true, ..request(now, 1, 1_000, 5_000) };
+    waiting(queue.offer(call, now));
+    waiting(queue.offer(request(now, 1, 1_000, 5_000), now));
+
+    let work = queue.work(now);
+
+    // The runs have 25 (the least), 30, 50, 70 and 90 ms left; the call and the request take 100 ms each.
+    let near = |work: Duration, ms| work.abs_diff(Duration::from_millis(ms)) < Duration::from_millis(1);
+    assert!(near(work.total, 465), "{work:?}");
+    assert!(near(work.before_calls, 365), "{work:?}");
+}
+
+#[test]
+fn a_run_counts_as_unusually_long_only_beyond_the_spread_of_its_route() {
+    let now = Instant::now();
+    let mut costs = route::CostEstimator::default();
+    for n in 0..200 {
+        costs.record(1, Duration::from_millis(if n % 10 == 0 { 1_000 } else { 50 }));
+    }
+    let overrun = |estimate| {
+        let mut queue = SlotQueue::new(1);
+        queue.offer(SlotRequest { estimate, ..request(now, 1, 1_000, 5_000) }, now);
+        queue.longest_overrun(now + Duration::from_millis(700))
+    };
+    assert!(overrun(costs.estimate(1, Duration::from_secs(1))) < 1.0);
+    assert!(overrun(Duration::from_millis(100).into()) > 3.0);
+}
