Keep digests of loaded servers in one datagram

Reports with the work of a server take up to 26 bytes in a digest, and 64 of them 1,677 bytes (a_digest_of_many_services_with_loaded_servers_fits_one_ datagram before this change); the receiver's buffer of 1,400 cuts them off. A digest now holds at most 52 servers.

--- a/crates/relay/src/digest.rs
+++ b/crates/relay/src/digest.rs
@@ -20,8 +20,8 @@
 
 /// Largest number of servers of one service in a digest.
 const MAX_SERVERS_PER_SERVICE: usize = 8;
-/// Largest number of servers in a digest, which keeps it in one datagram.
-const MAX_SERVERS_PER_DIGEST: usize = 64;
+/// Largest number of servers in a digest, which keeps it in one datagram: 26 bytes each when all have much work.
+const MAX_SERVERS_PER_DIGEST: usize = 52;
 /// Number of servers that a daemon names when it declines a request.
 const SERVERS_PER_DECLINE: usize = 3;
 /// Longest time for which the origin of a digest has not known a change when the digest arrives.
--- a/crates/relay/tests/digest.rs
+++ b/crates/relay/tests/digest.rs
@@ -192,6 +192,33 @@
     assert!(bytes < MAX_DATAGRAM_BYTES, "{bytes}");
 }
 
+/// Guards against digests that the receiver's buffer cuts off when all servers have much work.
+#[test]
+fn a_digest_of_many_services_with_loaded_servers_fits_one_datagram() {
+    let now = Instant::now();
+    let loaded = ServerReport {
+        running: 200,
+        waiting: 1_600,
+        slots: 200,
+        slowness_percent: 1_600,
+        work_ms: 2_000_000,
+        work_before_calls_ms: 2_000_000,
+        ..report(0)
+    };
+    let mut there = Peers::new(addr(2, 0), place(2));
+    for n in 1..200 {
+        let service = format!("service-{}", n % 20).into();
+        there.add_peer(PeerInfo { addr: addr(2, n), incarnation: 1, place: place(2), service }, now);
+        there.apply_status(addr(2, n), &status(loaded), now);
+    }
+    let later = now + Duration::from_millis(500);
+    let digest = there.digest(1_000_000, later, &mut rng());
+    let servers = digest.servers.len();
+    let message = Datagram::Digest { origin: addr(2, 0), digest };
+    let bytes = postcard::to_stdvec(&message).expect("the message is encoded").len();
+    assert!(bytes < MAX_DATAGRAM_BYTES, "{bytes} bytes of {servers} servers");
+}
+
 #[test]
 fn each_other_data_centre_gets_one_digest() {
     let now = Instant::now();
