--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -370,6 +370,7 @@
             condition: report.condition,
             reachable: true,
             is_known: true,
+            report_age: Duration::ZERO,
         });
         addrs.push(me);
     }
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -99,6 +99,12 @@
         self.reported_at.is_some_and(|at| now.saturating_duration_since(at) < MAX_REPORT_AGE)
     }
 
+    /// Age of `report`, at most [`MAX_REPORT_AGE`].
+    pub(crate) fn report_age(&self, now: Instant) -> Duration {
+        let age = self.reported_at.map(|at| now.saturating_duration_since(at));
+        age.map_or(MAX_REPORT_AGE, |age| age.min(MAX_REPORT_AGE))
+    }
+
     /// Counts a hand-off until the daemon's next report. A server that asked for a probe has got one.
     pub(crate) fn record_handoff(&mut self, now: Instant) {
         self.pending += 1;
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -395,6 +395,7 @@
             condition: peer.condition(),
             reachable: is_connected && !is_down,
             is_known: distance <= Distance::SameDataCentre || peer.is_known(now),
+            report_age: peer.report_age(now),
         }
     }
 }
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -6,7 +6,8 @@
 //! - Requests of one route differ in cost, and routes differ: the work that a server still has to do counts, not
 //!   the number of its requests.
 //! - Many daemons act on equally old load reports: each draws a few candidates at random, so that they do not
-//!   all pick the same one.
+//!   all pick the same one. A server that was idle when it last reported is not taken to be idle still: others
+//!   have sent it work since, as much as the servers get on the mean.
 //! - A server once seemed slow: it gets some requests after a while without any, so that the estimate can be
 //!   corrected and no healthy capacity lies idle.
 //! - Many servers in several data centres are equally loaded: a request leaves its data centre only if it might
@@ -130,6 +131,8 @@
     pub reachable: bool,
     /// Whether `load` and `condition` are recent enough to choose the server by them.
     pub is_known: bool,
+    /// Age of the report behind `load`.
+    pub report_age: Duration,
 }
 
 /// What a request requires of its placement.
@@ -168,6 +171,7 @@
     if let Some(index) = draw_with_probability(candidates, IDLE_SERVER_PROBABILITY, is_idle, rng) {
         return Some(index);
     }
+    let use_share = use_share(candidates);
     let may_be_healthy = |c: &&Candidate| !c.condition.is_suspect() && c.reachable;
     let is_usable = |c: &&Candidate| may_be_healthy(c) && c.is_known;
     let in_own_region = |c: &&Candidate| c.distance < Distance::OtherRegion;
@@ -175,6 +179,7 @@
     let same_data_centre = draw_best::<DRAWN_NEAR>(
         candidates.iter().filter(is_usable).filter(in_data_centre),
         requirements,
+        use_share,
         rng,
     );
     if let Some(best) = same_data_centre
@@ -186,6 +191,7 @@
     let same_region = draw_best::<DRAWN_ELSEWHERE>(
         candidates.iter().filter(is_usable).filter(in_other_data_centre),
         requirements,
+        use_share,
         rng,
     );
     let near = [same_data_centre, same_region]
@@ -200,20 +206,27 @@
     let other_region = draw_best::<DRAWN_ELSEWHERE>(
         candidates.iter().filter(is_usable).filter(|c| !in_own_region(c)),
         requirements,
+        use_share,
         rng,
     );
     let best =
         [near, other_region].into_iter().flatten().min_by_key(|c| expected_completion(c, requirements));
-    best.or_else(|| draw_best::<DRAWN_ELSEWHERE>(candidates.iter().filter(may_be_healthy), requirements, rng))
-        .or_else(|| {
-            draw_best::<DRAWN_ELSEWHERE>(
-                candidates.iter().filter(|c| c.reachable && in_own_region(c)),
-                requirements,
-                rng,
-            )
-        })
-        .or_else(|| draw_best::<DRAWN_ELSEWHERE>(candidates.iter(), requirements, rng))
-        .map(|c| c.index)
+    let may_be_reached = |c: &&Candidate| c.reachable && in_own_region(c);
+    let mut draw_from = |candidates: &mut dyn Iterator<Item = &'_ Candidate>| {
+        draw_best::<DRAWN_ELSEWHERE>(candidates, requirements, use_share, rng).map(|c| c.index)
+    };
+    best.map(|c| c.index)
+        .or_else(|| draw_from(&mut candidates.iter().filter(may_be_healthy)))
+        .or_else(|| draw_from(&mut candidates.iter().filter(may_be_reached)))
+        .or_else(|| draw_from(&mut candidates.iter()))
+}
+
+/// Share of the slots of the known servers that are in use, 0 to 1.
+fn use_share(candidates: &[Candidate]) -> f64 {
+    let known = candidates.iter().filter(|c| c.is_known).map(|c| c.load);
+    let (used, slots) =
+        known.fold((0, 0), |(used, slots), load| (used + load.running.min(load.slots), slots + load.slots));
+    f64::from(used) / f64::from(slots.max(1))
 }
 
 /// With the given probability, one of the region's reachable servers for which `is_wanted` is true.
@@ -234,10 +247,12 @@
 }
 
 /// Draws `N` candidates at random, among them always the server of the own instance if it is a
-/// candidate, and returns the one that is expected to finish first.
+/// candidate, and returns the one that is expected to finish first. `use_share` is the share of all slots that
+/// are in use: a server that reported `t` ago has got work of `t * use_share` for each slot since.
 fn draw_best<'a, const N: usize>(
     candidates: impl Iterator<Item = &'a Candidate>,
     requirements: &Requirements,
+    use_share: f64,
     rng: &mut impl Rng,
 ) -> Option<&'a Candidate> {
     let mut drawn: SmallVec<[&Candidate; N]> = SmallVec::new();
@@ -256,19 +271,24 @@
             drawn[slot] = candidate;
         }
     }
-    drawn.into_iter().min_by_key(|c| expected_completion(c, requirements))
+    drawn.into_iter().min_by_key(|c| completion(c, requirements, c.report_age.mul_f64(use_share)))
 }
 
 /// Expected time until the answer of a request that is placed at `candidate`, plus penalties for the distance
 /// that its bytes travel.
 pub fn expected_completion(candidate: &Candidate, requirements: &Requirements) -> Duration {
+    completion(candidate, requirements, Duration::ZERO)
+}
+
+/// [`expected_completion`] with a lower bound of the wait for a slot.
+fn completion(candidate: &Candidate, requirements: &Requirements, min_wait: Duration) -> Duration {
     let ServerLoad { running, waiting, slots, work, slowness, shed_share } = candidate.load;
     let (waiting, work) = if requirements.nested { (0, work.before_calls) } else { (waiting, work.total) };
     let slots = slots.max(1);
     let present = running + waiting;
     // Of the requests present, as many as this must end before the new one gets a slot.
     let queued = (present + 1).saturating_sub(slots);
-    let wait = work / slots * queued / present.max(1);
+    let wait = (work / slots * queued / present.max(1)).max(min_wait);
     let slowness = slowness.unwrap_or(1.0).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1);
     let run = requirements.expected_run.mul_f64(slowness);
     let use_share = (f64::from(present) / f64::from(slots)).min(1.0);
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -26,6 +26,7 @@
         condition: ServerCondition::Healthy,
         reachable: true,
         is_known: true,
+        report_age: Duration::ZERO,
     }
 }
 
@@ -249,3 +250,27 @@
     let candidates = [shedding, candidate(1, Distance::SameDataCentre, 0)];
     assert_eq!(chosen(&candidates, &short)[1], ROUNDS);
 }
+
+/// Guards against all daemons sending their requests to the server that was idle when it last reported.
+#[test]
+fn a_server_that_was_idle_a_second_ago_is_not_preferred_among_busy_ones() {
+    let reported = |index, running, age_ms| Candidate {
+        report_age: Duration::from_millis(age_ms),
+        ..candidate(index, Distance::SameDataCentre, running)
+    };
+    let busy = (2..12).map(|n| reported(n, 5, 1_500));
+    let candidates: Vec<_> = [reported(0, 1, 1_500), reported(1, 4, 50)].into_iter().chain(busy).collect();
+    let counts = chosen(&candidates, &requirements());
+    assert!(counts[1] > counts[0], "{counts:?}");
+}
+
+/// Guards against giving up what reports of a second ago tell while most servers have room.
+#[test]
+fn a_server_that_was_full_a_second_ago_is_avoided_among_idle_ones() {
+    let reported = |index, running| Candidate {
+        report_age: Duration::from_secs(1),
+        ..candidate(index, Distance::SameDataCentre, running)
+    };
+    let candidates: Vec<_> = (0..6).map(|n| reported(n, u32::from(n == 0) * 10)).collect();
+    assert_eq!(chosen(&candidates, &requirements())[0], 0);
+}
