--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -33,7 +33,7 @@
 use crate::fate_questions::{Receipt, SentHandoff, SentHandoffs};
 use crate::handoff::{
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
-    RUN_ERROR_HEADER, RunError, STATE_HEADER,
+    RUN_ERROR_HEADER, RUN_TIME_HEADER, RunError, RunTime, STATE_HEADER,
 };
 use crate::node::Node;
 use crate::operator_state::OperatorState;
@@ -329,6 +329,9 @@
     let mut rep = done.unwrap_or_else(|failed| failed.into_response(&node));
     let report = node.local_server.report(Instant::now()).without_probation();
     handoff::insert_header(rep.headers_mut(), &REPORT_HEADER, &report);
+    if let Some(run_time) = rep.extensions().get::<RunTime>().copied() {
+        handoff::insert_header(rep.headers_mut(), &RUN_TIME_HEADER, &run_time);
+    }
     rep
 }
 
--- a/crates/route/tests/cold_gate.rs
+++ b/crates/route/tests/cold_gate.rs
@@ -4,8 +4,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use route::ColdGate;
 use route::slot_queue::{Dequeued, OfferOutcome, SlotQueue, SlotRequest};
+use route::{ColdGate, RunEstimate};
 
 const LIMIT: usize = 15;
 
@@ -20,6 +20,7 @@
         objective_at: now + ms(2_000),
         deadline: now + ms(10_000),
         expected_run: ms(50),
+        estimate: RunEstimate::from(ms(50)),
     }
 }
 
