--- a/crates/relay/src/departures.rs
+++ b/crates/relay/src/departures.rs
@@ -197,7 +197,7 @@
     loop {
         let departures = node.local_server.departures();
         if node.departures.is_stored(&departures, node.store_era.latest()) {
-            wait_until_unsure(&node).await;
+            wait_for_change_or_restore(&node).await;
             continue;
         }
         gossip::announce_departures(&node, &gossip, &departures);
@@ -214,7 +214,7 @@
 
 /// Waits until the store may lack departures: there is a new one, or the store was restored. After a restore, the
 /// wait goes on for a random time, unless there is a new departure.
-async fn wait_until_unsure(node: &Node) {
+async fn wait_for_change_or_restore(node: &Node) {
     let log = &node.departures;
     tokio::select! {
         () = log.changed.notified() => {}
