--- a/crates/fate/tests/receipts.rs
+++ b/crates/fate/tests/receipts.rs
@@ -42,6 +42,17 @@
     assert!(!receipts.start(1, 1));
 }
 
+// Guards against a 502 for a request that was dropped with its connection while it waited.
+#[test]
+fn a_hand_off_that_ends_before_it_starts_is_known_as_not_run() {
+    let now = Instant::now();
+    let mut receipts = Receipts::default();
+    receipts.arrive(1, 1, now);
+    receipts.end(1, 1, false, now);
+    assert_eq!(fate_of(&mut receipts, 1, 1, true, now), Fate::Declined);
+    assert!(!receipts.start(1, 1));
+}
+
 // Guards against a daemon that claims not to have received what it has only forgotten.
 #[test]
 fn a_connection_dropped_for_lack_of_room_proves_nothing() {
--- a/crates/relay/tests/silent_links.rs
+++ b/crates/relay/tests/silent_links.rs
@@ -11,6 +11,7 @@
     Act, Fleet, conf, eventually, fleet, fleet_with_relays, long_timeout_conf, on_one_thread, status,
 };
 use futures_util::future::join_all;
+use relay::datagram::Datagram;
 use rstest::rstest;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -214,3 +215,19 @@
         assert_eq!(server_daemon.node.local_server.report(Instant::now()).waiting, 0);
     });
 }
+
+/// Largest datagram that daemons receive, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+// Guards against questions about many hand-offs whose datagrams are too large to be received.
+#[test]
+fn a_question_about_as_many_hand_offs_as_possible_and_its_answer_fit_a_datagram_each() {
+    let numbers = (0..).map(|n| u64::from(u32::MAX) - n).take(fate::MAX_NUMBERS);
+    let fates = numbers.clone().map(|number| (number, fate::Fate::Started)).collect();
+    let question = fate::Question { connection: u64::MAX, numbers: numbers.collect(), revoke: true };
+    let answer = fate::Answer { connection: u64::MAX, incarnation: u64::MAX, fates };
+    for datagram in [Datagram::FateQuestion(question), Datagram::FateAnswer(answer)] {
+        let bytes = postcard::to_stdvec(&datagram).expect("a datagram");
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+    }
+}
