Test that delayed hand-offs do not start after they were placed elsewhere

Cause: the tests with whole daemons never delivered what a silent connection had held back. Change: the relay of the tests can resume a silenced connection, with a gap before the cancellation of a request.

--- a/crates/relay/tests/common/link_relay.rs
+++ b/crates/relay/tests/common/link_relay.rs
@@ -2,13 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+/// Interval of checks whether a silenced connection carries bytes again.
+const RESUME_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time between the first bytes that a resumed connection carries and the next, so that a request arrives earlier than
+/// its cancellation.
+const RESUME_GAP: Duration = Duration::from_millis(50);
+
 /// Carries connections to a daemon. A silenced one stays open, but carries no further bytes.
 #[derive(Debug, Default)]
 pub struct LinkRelay {
@@ -57,6 +66,11 @@
         self.silent_below.set(self.accepted.get());
     }
 
+    /// The silenced connections carry bytes again, those that were sent meanwhile first.
+    pub fn resume(&self) {
+        self.silent_below.set(0);
+    }
+
     /// Closes the open connections.
     pub fn cut(&self) {
         self.cut.replace(CancellationToken::new()).cancel();
@@ -66,12 +80,15 @@
 async fn carry(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_silent: impl Fn() -> bool) {
     let mut buf = [0; 16 * 1024];
     while let Ok(len) = from.read(&mut buf).await {
-        if is_silent() {
-            // The sockets stay open.
-            std::future::pending::<()>().await;
+        let is_delayed = is_silent();
+        while is_silent() {
+            sleep(RESUME_POLL_INTERVAL).await;
         }
         if len == 0 || to.write_all(&buf[..len]).await.is_err() {
             return;
         }
+        if is_delayed {
+            sleep(RESUME_GAP).await;
+        }
     }
 }
--- a/crates/relay/tests/silent_links.rs
+++ b/crates/relay/tests/silent_links.rs
@@ -112,6 +112,27 @@
     });
 }
 
+/// Time in which delayed hand-offs would start.
+const START_TIME: Duration = Duration::from_millis(200);
+
+// Guards against a second run of orders that were placed elsewhere, when their connection delivers them after all.
+#[test]
+fn orders_that_arrive_after_they_were_placed_elsewhere_do_not_start() {
+    on_one_thread(async {
+        let (fleet, relays) = caller_and_two_servers(Act::Answer).await;
+        for relay in &relays {
+            relay.silence();
+        }
+        let answers = send_orders(&fleet, 0, ORDERS).await;
+        for relay in &relays {
+            relay.resume();
+        }
+        sleep(START_TIME).await;
+        assert_eq!((count(&answers, 200), order_runs(&fleet)), (ORDERS, ORDERS), "{answers:?}");
+        assert!(lost(&fleet) > 0, "no order was lost");
+    });
+}
+
 /// Slots of two servers.
 const SLOTS: usize = 4;
 /// Orders that are sent at once to two servers, so that some wait.
