--- a/crates/base/src/stamp.rs
+++ b/crates/base/src/stamp.rs
@@ -9,7 +9,9 @@
 ///
 /// A store that is restored from a copy begins a new era and gives out versions again, so versions of different
 /// eras say nothing about each other.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[display("{era}.{version}")]
 pub struct StoreStamp {
     /// Number of times that the store was restored.
