Share the slots of a server among customers by their rates

Cause: requests that are equally urgent got slots by what was due first, so a customer with many requests took nearly all slots of a server. Change: after nested calls, priority and whether the objective can be met, the virtual time of the customer decides (start-time fair queueing; weight is the configured rate, 1 without one), then what is due first. The expected wait counts the requests that get a slot before by this order. The server's daemon reads the weights from the configuration in force when a request asks for a slot; nothing is copied at a new configuration.

--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -8,10 +8,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::event;
+use base::rendezvous::stable_hash;
+use base::{CustomerId, event};
 use bytes::Bytes;
+use conf::Snapshot;
 use health::{GrayFilter, RequestOutcome};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
@@ -55,6 +58,8 @@
 /// Multiple of its expected run time that a request must have left to start while the daemon stops, since run
 /// times on one route vary.
 const STOP_RUN_TIME_FACTOR: u32 = 2;
+/// Weight of requests without a customer, and of customers that the configuration in force doesn't have yet.
+const DEFAULT_WEIGHT: f64 = 1.0;
 /// Number of slots assumed before the first heartbeat of the server.
 const INITIAL_SLOTS: usize = 1;
 
@@ -100,6 +105,8 @@
     pub(crate) header_names: Rc<HeaderNames>,
     pub(crate) pool: Pool,
     state: RefCell<State>,
+    /// Configuration in force, which has the weights of customers.
+    conf: RefCell<Option<Arc<Snapshot>>>,
     /// Notified of each change of the report that other daemons should learn of at once.
     report_changed: Notify,
     /// When a call last failed that the server may have made for one of its running requests.
@@ -132,6 +139,7 @@
             header_names,
             pool: Pool::new(addr),
             state: RefCell::new(state),
+            conf: RefCell::default(),
             report_changed: Notify::new(),
             call_failed_at: Cell::new(None),
             running_repeats: Cell::new(0),
@@ -180,6 +188,11 @@
         outcome
     }
 
+    /// Puts a configuration in force. Requests that ask for a slot from now on get its weights.
+    pub fn set_conf(&self, conf: Arc<Snapshot>) {
+        self.conf.replace(Some(conf));
+    }
+
     /// Records that the server with this id has left; `wall_ms` is the present Unix time.
     pub fn deregister(&self, id: &str, wall_ms: ServerIncarnation) {
         let mut state = self.state.borrow_mut();
@@ -366,6 +379,8 @@
         let request = SlotRequest {
             priority: handoff.priority,
             nested: handoff.nested,
+            customer: handoff.customer.as_ref().map(|name| stable_hash(name.as_bytes())),
+            weight: self.customer_weight(handoff.customer.as_ref()),
             objective_at: now + handoff.objective_left,
             deadline,
             expected_run: state.run_times.expected_run(handoff.route_hash, handoff.objective),
@@ -395,6 +410,13 @@
         Ok((run, pending))
     }
 
+    /// Weight of a customer's share in the slots.
+    fn customer_weight(&self, name: Option<&CustomerId>) -> f64 {
+        let conf = self.conf.borrow();
+        let customer = conf.as_ref().zip(name).and_then(|(conf, name)| conf.customers.get(name));
+        customer.map_or(DEFAULT_WEIGHT, |customer| customer.rate)
+    }
+
     /// Records the run time of a request whose answer is complete.
     pub(crate) fn record_run_time(&self, route_hash: u32, took: Duration) {
         self.state.borrow_mut().run_times.record(route_hash, took);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -265,7 +265,9 @@
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
             self.raw_conf.replace(raw);
-            self.snapshot.send_replace(Some(Arc::new(snapshot)));
+            let snapshot = Arc::new(snapshot);
+            self.local_server.set_conf(Arc::clone(&snapshot));
+            self.snapshot.send_replace(Some(snapshot));
             self.status_changed.notify_one();
         }
         self.freshness.borrow_mut().adopt(version, proven_at);
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -3,15 +3,16 @@
 //! A server that gets more requests than its slots can run would queue them itself, where they can no longer
 //! be moved or refused; therefore they wait here. Calls made by a running request go first, since their
 //! caller holds a slot meanwhile. Then the priority decides, then whether a request can still meet its
-//! latency objective, then the deadline.
+//! latency objective, then the share that its customer has had, then what is due first.
 
-use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use conf::Priority;
 use smallvec::SmallVec;
 
 use crate::cold_gate::ColdGate;
+use crate::customer_shares::{CustomerHash, CustomerShares, virtual_cost};
+use crate::waiting_order::{Place, Urgency, sort_by_turn};
 
 /// Identifies a request in a queue. A queue never uses a ticket twice.
 pub type Ticket = u64;
@@ -28,6 +29,10 @@
     pub priority: Priority,
     /// Whether a running request of another server waits for this one.
     pub nested: bool,
+    /// Customer for whom the request runs. Requests without one have one share together.
+    pub customer: Option<CustomerHash>,
+    /// Weight of the customer's share in the slots: its configured rate; 1 without a customer.
+    pub weight: f64,
     /// Time at which the answer is due by the latency objective.
     pub objective_at: Instant,
     /// Time after which an answer is useless.
@@ -79,6 +84,8 @@
     /// In no particular order. No request is added once there are [`MAX_WAITING_PER_SLOT`] for each slot.
     waiting: Vec<WaitingRequest>,
     running: Vec<RunningRequest>,
+    /// What customers have had of the slots since requests last had to wait.
+    shares: CustomerShares,
     /// Bounds the starts while the server is cold.
     gate: ColdGate,
     last_ticket: Ticket,
@@ -87,7 +94,14 @@
 impl SlotQueue {
     /// Creates an empty queue for a server with `slots` slots.
     pub fn new(slots: usize) -> Self {
-        Self { slots, waiting: Vec::new(), running: Vec::new(), gate: ColdGate::default(), last_ticket: 0 }
+        Self {
+            slots,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            shares: CustomerShares::default(),
+            gate: ColdGate::default(),
+            last_ticket: 0,
+        }
     }
 
     /// Puts `gate` in front of the slots.
@@ -143,6 +157,7 @@
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         if self.can_start(now) && self.waiting.is_empty() {
+            self.shares.clear();
             self.start(ticket, &request, now);
             return OfferOutcome::Started(ticket);
         }
@@ -166,8 +181,9 @@
     pub fn start_waiting(&mut self, now: Instant) -> SmallVec<[Dequeued; 4]> {
         let mut dequeued = SmallVec::new();
         while self.can_start(now) {
-            let best = self.waiting.iter().enumerate().min_by_key(|(_, w)| queue_order(&w.request, now));
-            let Some((index, _)) = best else { break };
+            let places =
+                self.waiting.iter().map(|w| Place::of(w.ticket, &w.request, &self.shares, now)).enumerate();
+            let Some((index, _)) = places.min_by(|a, b| a.1.cmp(&b.1)) else { break };
             let WaitingRequest { ticket, request } = self.waiting.swap_remove(index);
             if now + request.expected_run / 2 > request.deadline {
                 dequeued.push(Dequeued::TooLate(ticket));
@@ -184,13 +200,14 @@
         if self.can_start(now) && self.waiting.is_empty() {
             return Duration::ZERO;
         }
-        let own = queue_order(request, now);
-        let ahead = self.waiting.iter().map(|w| &w.request).filter(|r| queue_order(r, now) <= own);
+        let waiting = self.waiting.iter().map(|w| (w.ticket, w.request));
+        let all = waiting.chain([(Ticket::MAX, *request)]);
+        let turns = sort_by_turn(all, &self.shares, now);
         let mut free_in = self.slots_free_in(now);
         let mut count_ahead = 0;
-        for request in ahead {
+        for (_, request) in turns.into_iter().take_while(|(ticket, _)| *ticket != Ticket::MAX) {
             count_ahead += 1;
-            // Each takes the slot that is free first. Their order hardly matters for the time of the last one.
+            // Each takes the slot that is free first.
             if let Some(first) = free_in.iter_mut().min() {
                 *first += request.expected_run;
             }
@@ -223,17 +240,12 @@
 
     fn start(&mut self, ticket: Ticket, request: &SlotRequest, now: Instant) {
         self.gate.record_start(now);
+        let cost = virtual_cost(request.expected_run, request.weight);
+        self.shares.record_start(Urgency::of(request, now), request.customer, cost);
         self.running.push(RunningRequest { ticket, started: now, expected_run: request.expected_run });
     }
 }
 
-/// Sort key of waiting requests; the smallest goes first.
-fn queue_order(request: &SlotRequest, now: Instant) -> (Reverse<bool>, Priority, bool, Instant) {
-    let is_late = now + request.expected_run > request.objective_at;
-    let due = if is_late { request.deadline } else { request.objective_at };
-    (Reverse(request.nested), request.priority, is_late, due)
-}
-
 /// Expected remaining time of a run, never below [`MIN_REMAINING_PART`]. A run that has exceeded its expected
 /// time is taken to exceed it by as much again.
 fn remaining_run(run: &RunningRequest, now: Instant) -> Duration {
--- /dev/null
+++ b/crates/route/src/waiting_order.rs
@@ -0,0 +1,76 @@
+//! Order in which waiting requests get the slots of a server.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::HashMap;
+use std::time::Instant;
+
+use conf::Priority;
+
+use crate::customer_shares::{CustomerHash, CustomerShares, virtual_cost};
+use crate::slot_queue::{SlotRequest, Ticket};
+
+/// How urgent a request is, apart from its customer's share. Smaller ones go first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Urgency {
+    nested: Reverse<bool>,
+    priority: Priority,
+    /// Whether the request will miss its objective even if it starts now.
+    is_late: bool,
+}
+
+impl Urgency {
+    pub(crate) fn of(request: &SlotRequest, now: Instant) -> Self {
+        let is_late = now + request.expected_run > request.objective_at;
+        Self { nested: Reverse(request.nested), priority: request.priority, is_late }
+    }
+}
+
+/// Place of a request in the order; the smallest goes first.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place {
+    pub(crate) urgency: Urgency,
+    /// Virtual time of the customer when it is the request's turn.
+    virtual_time: f64,
+    /// The objective while it can be met, else the deadline.
+    due: Instant,
+    /// Older requests go first if all else is equal.
+    ticket: Ticket,
+}
+
+impl Place {
+    /// Place of a request that would be the next one of its customer.
+    pub(crate) fn of(ticket: Ticket, request: &SlotRequest, shares: &CustomerShares, now: Instant) -> Self {
+        let urgency = Urgency::of(request, now);
+        let due = if urgency.is_late { request.deadline } else { request.objective_at };
+        let virtual_time = shares.virtual_time_of(urgency, request.customer);
+        Self { urgency, virtual_time, due, ticket }
+    }
+
+    pub(crate) fn cmp(&self, other: &Self) -> Ordering {
+        self.urgency
+            .cmp(&other.urgency)
+            .then(self.virtual_time.total_cmp(&other.virtual_time))
+            .then(self.due.cmp(&other.due))
+            .then(self.ticket.cmp(&other.ticket))
+    }
+}
+
+/// Sorts requests by the order in which they get slots, if no other request comes: each start of a customer's
+/// request delays its next ones.
+pub(crate) fn sort_by_turn(
+    requests: impl Iterator<Item = (Ticket, SlotRequest)>,
+    shares: &CustomerShares,
+    now: Instant,
+) -> Vec<(Ticket, SlotRequest)> {
+    let with_place = |(ticket, request)| (Place::of(ticket, &request, shares, now), request);
+    let mut turns: Vec<(Place, SlotRequest)> = requests.map(with_place).collect();
+    turns.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+    let mut ahead: HashMap<(Urgency, Option<CustomerHash>), f64> = HashMap::new();
+    for (place, request) in &mut turns {
+        let cost_ahead = ahead.entry((place.urgency, request.customer)).or_default();
+        place.virtual_time += *cost_ahead;
+        *cost_ahead += virtual_cost(request.expected_run, request.weight);
+    }
+    turns.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+    turns.into_iter().map(|(place, request)| (place.ticket, request)).collect()
+}
--- a/crates/route/tests/slot_queue.rs
+++ b/crates/route/tests/slot_queue.rs
@@ -12,6 +12,8 @@
     SlotRequest {
         priority,
         nested: false,
+        customer: None,
+        weight: 1.0,
         objective_at: now + Duration::from_millis(objective_ms),
         deadline: now + Duration::from_millis(deadline_ms),
         expected_run: Duration::from_millis(100),
@@ -104,6 +106,118 @@
     assert!(later > soon * 10, "{soon:?} {later:?}");
 }
 
+/// Starts of customers' requests in their order, while all of them wait for one slot.
+fn customers_served(requests: &[SlotRequest], now: Instant) -> Vec<u64> {
+    let (mut queue, mut running) = busy(now);
+    let tickets: HashMap<Ticket, u64> =
+        requests.iter().map(|r| (waiting(queue.offer(*r, now)), r.customer.unwrap_or_default())).collect();
+    let mut served = Vec::new();
+    loop {
+        match next_after(&mut queue, running, now)[..] {
+            [Dequeued::Started(ticket)] => {
+                served.push(tickets[&ticket]);
+                running = ticket;
+            }
+            ref other => {
+                assert!(other.is_empty(), "{other:?}");
+                return served;
+            }
+        }
+    }
+}
+
+/// A request of a customer. All of the requests in one test are equally urgent.
+fn request_of(customer: u64, weight: f64, due_ms: u64, now: Instant) -> SlotRequest {
+    SlotRequest { customer: Some(customer), weight, ..request(now, 1, due_ms, 60_000) }
+}
+
+// Guards against a customer that gets all slots because its requests came first.
+#[test]
+fn customers_of_equal_weight_take_turns() {
+    let now = Instant::now();
+    let mut requests = vec![request_of(1, 1.0, 20_000, now); 5];
+    requests.extend([request_of(2, 1.0, 30_000, now); 2]);
+    assert_eq!(customers_served(&requests, now), [1, 2, 1, 2, 1, 1, 1]);
+}
+
+// Guards against a weight that is not used.
+#[test]
+fn a_customer_of_three_times_the_weight_has_three_times_the_starts() {
+    let now = Instant::now();
+    let mut requests = vec![request_of(1, 3.0, 20_000, now); 4];
+    requests.extend([request_of(2, 1.0, 30_000, now); 4]);
+    let first_four = &customers_served(&requests, now)[..4];
+    assert_eq!(first_four.iter().filter(|customer| **customer == 1).count(), 3, "{first_four:?}");
+}
+
+// Guards against fairness that delays urgent requests.
+#[test]
+fn an_urgent_request_goes_first_whatever_its_customer_has_had() {
+    let now = Instant::now();
+    let mut requests = vec![SlotRequest { priority: 0, ..request_of(1, 1.0, 20_000, now) }; 3];
+    requests.extend([request_of(2, 1.0, 20_000, now); 2]);
+    assert_eq!(customers_served(&requests, now), [1, 1, 1, 2, 2]);
+}
+
+// Guards against another order than by what is due at a service with a single customer.
+#[rstest::rstest]
+#[case::without_customers(None)]
+#[case::one_customer(Some(1))]
+fn requests_of_one_customer_go_by_what_is_due_first(#[case] customer: Option<u64>) {
+    let now = Instant::now();
+    let (mut queue, mut running) = busy(now);
+    let dues = [900, 700, 1_500, 800, 1_200];
+    let offer = |due: &u64| {
+        let request = SlotRequest { customer, ..request(now, 1, *due, 60_000) };
+        (waiting(queue.offer(request, now)), *due)
+    };
+    let tickets: HashMap<Ticket, u64> = dues.iter().map(offer).collect();
+    let mut order = Vec::new();
+    while let [Dequeued::Started(ticket)] = next_after(&mut queue, running, now)[..] {
+        order.push(tickets[&ticket]);
+        running = ticket;
+    }
+    assert_eq!(order, [700, 800, 900, 1_200, 1_500]);
+}
+
+// Guards against a customer that saves up its share while it sends nothing, and then takes all slots.
+#[test]
+fn a_customer_that_was_silent_gets_no_more_than_its_share() {
+    let now = Instant::now();
+    let (mut queue, mut running) = busy(now);
+    for _ in 0..6 {
+        waiting(queue.offer(request_of(1, 1.0, 20_000, now), now));
+    }
+    for _ in 0..3 {
+        match next_after(&mut queue, running, now)[..] {
+            [Dequeued::Started(ticket)] => running = ticket,
+            ref other => panic!("{other:?}"),
+        }
+    }
+    let late: Vec<Ticket> =
+        (0..2).map(|_| waiting(queue.offer(request_of(2, 1.0, 20_000, now), now))).collect();
+    let mut starts = Vec::new();
+    while let [Dequeued::Started(ticket)] = next_after(&mut queue, running, now)[..] {
+        starts.push(late.contains(&ticket));
+        running = ticket;
+    }
+    assert_eq!(starts, [true, false, true, false, false]);
+}
+
+// Guards against an expected wait that counts all requests of a customer ahead, or none.
+#[test]
+fn the_expected_wait_of_a_customers_first_request_is_short_behind_many_of_another() {
+    let now = Instant::now();
+    let (mut queue, _) = busy(now);
+    for _ in 0..7 {
+        waiting(queue.offer(request_of(1, 1.0, 20_000, now), now));
+    }
+    let first = queue.expected_wait(&request_of(2, 1.0, 30_000, now), now);
+    let of_the_same = queue.expected_wait(&request_of(1, 1.0, 30_000, now), now);
+    assert_eq!(first, Duration::from_millis(200));
+    assert_eq!(of_the_same, Duration::from_millis(800));
+}
+
 /// Requests of a simulated overload.
 const REQUESTS: u64 = 3_000;
 const SLOTS: usize = 5;
