Decline requests as soon as no room for them is foreseen, the least urgent first

Cause: a full queue declined urgent requests and kept less urgent ones, and a request that could no longer be finished by its deadline learned that at its turn or from a timeout. Change: a more urgent request takes the place of the least urgent one in a full queue. At each change of the queue a forecast in the order of turns finds the requests that can't have half of their expected run time before their deadline; they are declined with the expected wait, and the caller's daemon is told at once. E0707 gains customer= and cause= (too-late, full, displaced, waited). A request counts as able to meet its objective only while it has 1.5 times its expected run time left.

--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -20,7 +20,7 @@
 use hyper::{Request, Response};
 use route::SlotQueue;
 use route::placement::ServerCondition;
-use route::slot_queue::{Dequeued, OfferOutcome, SlotRequest, Ticket};
+use route::slot_queue::{Dequeued, NoRoom, OfferOutcome, SlotRequest, Ticket};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout_at;
 
@@ -69,7 +69,7 @@
     queue: SlotQueue,
     /// Senders that tell each waiting request whether it got a slot. A sender dropped without a message tells
     /// it that the server takes no more work.
-    waiters: HashMap<Ticket, oneshot::Sender<bool>>,
+    waiters: HashMap<Ticket, oneshot::Sender<SlotDecision>>,
     gray_filter: GrayFilter,
     run_times: RunTimes,
     /// Set by a failed attempt to connect. Until this time the server counts as suspect and is not probed.
@@ -296,7 +296,7 @@
         let run = self
             .acquire_slot(handoff, now, deadline)
             .await
-            .inspect_err(|e| self.log_declined(id.as_ref(), *e, now))?;
+            .map_err(|refused| self.log_declined(id.as_ref(), handoff, refused, now))?;
         let is_once = handoff.repetition == Repetition::Never;
         let max_idle = if is_once { MAX_IDLE_FOR_ONCE } else { MAX_IDLE_FOR_REPEATABLE };
         let conn = match timeout_at(deadline.into(), self.pool.take(max_idle)).await {
@@ -314,20 +314,29 @@
         exchange.run(req).await
     }
 
-    /// Logs why a request was declined, with the load and the probability that the server is failing.
-    fn log_declined(&self, id: Option<&HeaderValue>, error: RunError, since: Instant) {
-        let RunError::Declined { reason, free_in } = error else { return };
+    /// Logs why a request was declined, with the load and the probability that the server is failing. Returns
+    /// the error for the caller's daemon.
+    fn log_declined(
+        &self,
+        id: Option<&HeaderValue>,
+        handoff: &Handoff,
+        refused: SlotRefusal,
+        since: Instant,
+    ) -> RunError {
+        let SlotRefusal { reason, free_in, cause } = refused;
         let state = self.state.borrow();
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
+        let customer = handoff.customer.as_deref().unwrap_or("-");
         let (running, waiting, slots) = (state.queue.running(), state.queue.waiting(), state.queue.slots());
         let (free_in_ms, after_ms) = (free_in.as_millis(), since.elapsed().as_millis());
         event!(
             Info,
             RequestDeclined,
-            "id={id} reason={reason} free_in_ms={free_in_ms} running={running} waiting={waiting} slots={slots} \
-             failing={:.3} after_ms={after_ms}",
+            "id={id} customer={customer} reason={reason} cause={cause} free_in_ms={free_in_ms} running={running} \
+             waiting={waiting} slots={slots} failing={:.3} after_ms={after_ms}",
             state.gray_filter.failure_probability(Instant::now())
         );
+        RunError::Declined { reason, free_in }
     }
 
     async fn acquire_slot(
@@ -335,21 +344,24 @@
         handoff: &Handoff,
         now: Instant,
         deadline: Instant,
-    ) -> Result<RunningRequest, RunError> {
+    ) -> Result<RunningRequest, SlotRefusal> {
         let (mut run, pending) = self.request_slot(handoff, now, deadline)?;
         let Some(pending) = pending else {
             return Ok(run);
         };
         let max_wait = (pending.free_in * SLOT_WAIT_FACTOR).max(MIN_SLOT_WAIT);
         match timeout_at((now + max_wait).min(deadline).into(), pending.receiver).await {
-            Ok(Ok(true)) => {
+            Ok(Ok(SlotDecision::Granted)) => {
                 run.restart_clock(Instant::now());
                 Ok(run)
             }
-            Ok(Ok(false)) | Err(_) => {
-                Err(RunError::Declined { reason: DeclineReason::Busy, free_in: pending.free_in })
-            }
-            Ok(Err(_cleared)) => Err(RunError::declined(DeclineReason::Draining)),
+            Ok(Ok(SlotDecision::Declined { free_in, cause })) => Err(SlotRefusal::busy(free_in, cause)),
+            Ok(Err(_cleared)) => Err(DeclineReason::Draining.into()),
+            Err(_waited_too_long) => Err(SlotRefusal {
+                reason: DeclineReason::Busy,
+                free_in: pending.free_in,
+                cause: "waited".into(),
+            }),
         }
     }
 
@@ -359,21 +371,21 @@
         handoff: &Handoff,
         now: Instant,
         deadline: Instant,
-    ) -> Result<(RunningRequest, Option<PendingSlot>), RunError> {
+    ) -> Result<(RunningRequest, Option<PendingSlot>), SlotRefusal> {
         if self.is_stopping.get() {
-            return Err(RunError::declined(DeclineReason::Stopping));
+            return Err(DeclineReason::Stopping.into());
         }
         if !self.knows_departures.get() {
-            return Err(RunError::declined(DeclineReason::NoServer));
+            return Err(DeclineReason::NoServer.into());
         }
         let mut state = self.state.borrow_mut();
-        let server = state.registration.serving(&handoff.service).map_err(RunError::declined)?;
+        let server = state.registration.serving(&handoff.service).map_err(SlotRefusal::from)?;
         let server = server.heartbeat.id.clone();
         let condition = state.condition(now);
         let is_repeatable = handoff.repetition != Repetition::Never;
         let may_probe = is_repeatable && condition == ServerCondition::Probation;
         if condition.is_suspect() && !may_probe && !handoff.allow_suspect {
-            return Err(RunError::declined(DeclineReason::Suspect));
+            return Err(DeclineReason::Suspect.into());
         }
         state.last_offered_at = now;
         let request = SlotRequest {
@@ -388,7 +400,7 @@
         let time_needed =
             || state.queue.expected_wait(&request, now) + request.expected_run * STOP_RUN_TIME_FACTOR;
         if self.ends_at.get().is_some_and(|at| now + time_needed() > at) {
-            return Err(RunError::declined(DeclineReason::Stopping));
+            return Err(DeclineReason::Stopping.into());
         }
         let (ticket, pending) = match state.queue.offer(request, now) {
             OfferOutcome::Started(ticket) => (ticket, None),
@@ -397,13 +409,18 @@
                 state.waiters.insert(ticket, tx);
                 (ticket, Some(PendingSlot { receiver, free_in: state.queue.expected_wait(&request, now) }))
             }
-            OfferOutcome::Declined { free_in } => {
-                return Err(RunError::Declined { reason: DeclineReason::Busy, free_in });
+            OfferOutcome::Declined { free_in, cause } => {
+                grant_slots(&mut state, now);
+                return Err(SlotRefusal::busy(free_in, cause));
             }
         };
         if condition.is_suspect() {
             state.probe = Some(ticket);
         }
+        if pending.is_some() {
+            // The new request may take the place of others, or make them too late.
+            grant_slots(&mut state, now);
+        }
         drop(state);
         let local_server = Rc::clone(self);
         let run = RunningRequest::new(local_server, ticket, server, now, handoff.route_hash);
@@ -509,11 +526,40 @@
 #[derive(Debug)]
 struct PendingSlot {
     /// Receives whether the slot was granted; closed if the server takes no more work.
-    receiver: oneshot::Receiver<bool>,
+    receiver: oneshot::Receiver<SlotDecision>,
     /// Expected time until the slot is free.
     free_in: Duration,
 }
 
+/// What became of a request that waited for a slot.
+#[derive(Clone, Copy, Debug)]
+enum SlotDecision {
+    Granted,
+    Declined { free_in: Duration, cause: NoRoom },
+}
+
+/// Why a request got no slot.
+#[derive(Debug)]
+struct SlotRefusal {
+    reason: DeclineReason,
+    /// Expected time until the server has a free slot; zero if not known.
+    free_in: Duration,
+    /// What the lack of room is due to; `-` for other reasons.
+    cause: Box<str>,
+}
+
+impl SlotRefusal {
+    fn busy(free_in: Duration, cause: NoRoom) -> Self {
+        Self { reason: DeclineReason::Busy, free_in, cause: cause.to_string().into() }
+    }
+}
+
+impl From<DeclineReason> for SlotRefusal {
+    fn from(reason: DeclineReason) -> Self {
+        Self { reason, free_in: Duration::ZERO, cause: "-".into() }
+    }
+}
+
 /// Drops all requests that wait for a slot, so that they can go to another server.
 fn decline_waiting(state: &mut State) {
     for ticket in state.queue.clear_waiting() {
@@ -521,7 +567,7 @@
     }
 }
 
-/// Grants free slots to waiting requests.
+/// Grants free slots to waiting requests, and tells those for which there is no room at once.
 fn grant_slots(state: &mut State, now: Instant) {
     loop {
         let dequeued = state.queue.start_waiting(now);
@@ -529,12 +575,14 @@
             return;
         }
         for request in dequeued {
-            let (ticket, has_slot) = match request {
-                Dequeued::Started(ticket) => (ticket, true),
-                Dequeued::TooLate(ticket) => (ticket, false),
+            let (ticket, decision) = match request {
+                Dequeued::Started(ticket) => (ticket, SlotDecision::Granted),
+                Dequeued::Declined { ticket, free_in, cause } => {
+                    (ticket, SlotDecision::Declined { free_in, cause })
+                }
             };
-            let is_notified = state.waiters.remove(&ticket).is_some_and(|tx| tx.send(has_slot).is_ok());
-            if has_slot && !is_notified {
+            let is_notified = state.waiters.remove(&ticket).is_some_and(|tx| tx.send(decision).is_ok());
+            if matches!(decision, SlotDecision::Granted) && !is_notified {
                 state.queue.remove(ticket);
             }
         }
--- a/crates/relay/tests/fair_room.rs
+++ b/crates/relay/tests/fair_room.rs
@@ -9,7 +9,7 @@
 use common::{Act, Backend, SERVICE, eventually, on_one_thread};
 use conf::compile::SnapshotParts;
 use conf::{AllowedRegions, CallerLimits, Customer, Snapshot};
-use relay::handoff::{Handoff, Repetition, RunError};
+use relay::handoff::{DeclineReason, Handoff, Repetition, RunError};
 use relay::header_names::HeaderNames;
 use relay::local_server::LocalServer;
 use relay::registration::Heartbeat;
@@ -124,3 +124,70 @@
         assert_eq!(starts_of_b(None, 4).await, 2);
     });
 }
+
+// Guards against requests that learn only from a timeout that a more urgent one has made them too late.
+#[test]
+fn a_request_that_will_not_start_in_time_is_declined_at_once() {
+    on_one_thread(async {
+        let backend = Backend::start(&[Act::After(3_000)]).await;
+        let server = local_server(&backend);
+        run(&server, handoff(None));
+        eventually(|| server.request_count() == 1).await;
+        // Runs are expected to take 300 ms, so that this one can start until 850 ms from now.
+        let waits = run(&server, Handoff { deadline_left: Duration::from_secs(1), ..handoff(Some("a")) });
+        eventually(|| server.request_count() == 2).await;
+        for _ in 0..3 {
+            run(&server, Handoff { priority: 0, ..handoff(Some("b")) });
+        }
+
+        let (error, took) = waits.await.expect("the request ends");
+        let Some(RunError::Declined { reason: DeclineReason::Busy, free_in }) = error else {
+            panic!("{error:?}")
+        };
+        assert!(took < Duration::from_millis(200), "{took:?}");
+        assert!(free_in > Duration::from_millis(850), "{free_in:?}");
+        assert_eq!(server.request_count(), 4);
+    });
+}
+
+// Guards against an urgent request that is refused because less urgent ones have filled the queue.
+#[test]
+fn a_more_urgent_request_displaces_one_in_a_full_queue_which_is_told_at_once() {
+    on_one_thread(async {
+        let backend = Backend::start(&[Act::After(3_000)]).await;
+        let server = local_server(&backend);
+        run(&server, handoff(None));
+        eventually(|| server.request_count() == 1).await;
+        let mut waiting: Vec<_> = (0..8).map(|_| run(&server, handoff(Some("a")))).collect();
+        eventually(|| server.request_count() == 9).await;
+        let urgent = run(&server, Handoff { priority: 0, ..handoff(Some("b")) });
+
+        let last = waiting.pop().expect("eight requests wait");
+        let (error, took) = last.await.expect("the request ends");
+        assert!(matches!(error, Some(RunError::Declined { reason: DeclineReason::Busy, .. })), "{error:?}");
+        assert!(took < Duration::from_millis(200), "{took:?}");
+        assert!(!urgent.is_finished());
+        assert_eq!(server.request_count(), 9);
+    });
+}
+
+// Guards against waiting requests that aren't told that they are too late because the next request is declined.
+#[test]
+fn a_declined_request_shows_a_waiting_one_that_it_is_too_late() {
+    on_one_thread(async {
+        let backend = Backend::start(&[Act::After(3_000)]).await;
+        let server = local_server(&backend);
+        run(&server, handoff(None));
+        eventually(|| server.request_count() == 1).await;
+        let waits = run(&server, Handoff { deadline_left: Duration::from_secs(1), ..handoff(Some("a")) });
+        // The run has taken more than twice the expected time and no slot is expected for 475 ms.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        let refused =
+            run(&server, Handoff { deadline_left: Duration::from_millis(100), ..handoff(Some("b")) });
+
+        refused.await.expect("the request ends").0.expect("it can't be finished in time");
+        let (error, took) = waits.await.expect("the request ends");
+        assert!(matches!(error, Some(RunError::Declined { reason: DeclineReason::Busy, .. })), "{error:?}");
+        assert!(took < Duration::from_millis(850), "{took:?}");
+    });
+}
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -4,10 +4,14 @@
 //! be moved or refused; therefore they wait here. Calls made by a running request go first, since their
 //! caller holds a slot meanwhile. Then the priority decides, then whether a request can still meet its
 //! latency objective, then the share that its customer has had, then what is due first.
+//!
+//! Requests that will not get a slot in time are declined as soon as that can be foreseen, while another server
+//! may still run them.
 
 use std::time::{Duration, Instant};
 
 use conf::Priority;
+use derive_more::Display;
 use smallvec::SmallVec;
 
 use crate::cold_gate::ColdGate;
@@ -19,6 +23,10 @@
 
 /// Requests that may wait for each slot.
 const MAX_WAITING_PER_SLOT: usize = 8;
+/// Divisor of the expected run time that gives the time for which a waiting request must be able to run before
+/// its deadline. Run times on one route vary, and the forecast of a request that was accepted may become worse
+/// for a moment; a new request must be able to run for the whole expected time.
+const MIN_RUN_DIVISOR: u32 = 2;
 /// Lower bound of the time that a run is expected to need still, as a part of its expected run time.
 const MIN_REMAINING_PART: f64 = 0.25;
 
@@ -48,23 +56,55 @@
     Started(Ticket),
     /// The request waits; [`SlotQueue::start_waiting`] returns its ticket when it gets a slot.
     Waiting(Ticket),
-    /// The request would not be finished by its deadline, or too many requests wait already.
+    /// The request would not be finished by its deadline, or too many more urgent requests wait already.
     Declined {
         /// Expected time until the request would have got a slot.
         free_in: Duration,
+        /// Why there is no room.
+        cause: NoRoom,
     },
 }
 
+/// Why there is no room for a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum NoRoom {
+    /// The request would not be finished by its deadline.
+    #[display("too-late")]
+    TooLate,
+    /// The queue is full of requests that are more urgent.
+    #[display("full")]
+    Full,
+    /// The request waited in a full queue, and a more urgent one took its place.
+    #[display("displaced")]
+    Displaced,
+}
+
 /// A request that [`SlotQueue::start_waiting`] took out of the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Dequeued {
     /// The request has a slot now.
     Started(Ticket),
-    /// The request can no longer be finished by its deadline. It got no slot.
-    TooLate(Ticket),
+    /// The request got no slot and waits no longer.
+    Declined {
+        /// The request.
+        ticket: Ticket,
+        /// Expected time until it would have got a slot.
+        free_in: Duration,
+        /// Why there is no room.
+        cause: NoRoom,
+    },
 }
 
+/// When a request is expected to start.
 #[derive(Debug)]
+struct Forecast {
+    ticket: Ticket,
+    starts_in: Duration,
+    /// Whether the request can then not be finished by its deadline. It delays no other request.
+    is_too_late: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     ticket: Ticket,
     request: SlotRequest,
@@ -84,6 +124,8 @@
     /// In no particular order. No request is added once there are [`MAX_WAITING_PER_SLOT`] for each slot.
     waiting: Vec<WaitingRequest>,
     running: Vec<RunningRequest>,
+    /// Requests that have been removed from `waiting` and that the next [`Self::start_waiting`] returns.
+    declined: SmallVec<[Dequeued; 4]>,
     /// What customers have had of the slots since requests last had to wait.
     shares: CustomerShares,
     /// Bounds the starts while the server is cold.
@@ -98,6 +140,7 @@
             slots,
             waiting: Vec::new(),
             running: Vec::new(),
+            declined: SmallVec::new(),
             shares: CustomerShares::default(),
             gate: ColdGate::default(),
             last_ticket: 0,
@@ -147,20 +190,34 @@
         self.waiting.len()
     }
 
-    /// Gives the request a slot, queues it, or declines it if it cannot be finished by its deadline.
+    /// Gives the request a slot, queues it, or declines it if it cannot be finished by its deadline. In a full
+    /// queue it takes the place of the least urgent request, unless it is less urgent itself. Call
+    /// [`Self::start_waiting`] afterwards, whatever the outcome: it returns the requests that wait no longer.
     pub fn offer(&mut self, request: SlotRequest, now: Instant) -> OfferOutcome {
-        let free_in = self.expected_wait(&request, now);
-        let is_full = self.waiting.len() >= self.slots * MAX_WAITING_PER_SLOT;
-        if is_full || now + free_in + request.expected_run > request.deadline {
-            return OfferOutcome::Declined { free_in };
+        let is_free = self.can_start(now) && self.waiting.is_empty();
+        let forecast = if is_free { Vec::new() } else { self.forecast(Some(&request), now) };
+        let own = forecast.iter().position(|f| f.ticket == Ticket::MAX);
+        let free_in = own.map_or(Duration::ZERO, |index| forecast[index].starts_in);
+        if now + free_in + request.expected_run > request.deadline {
+            return OfferOutcome::Declined { free_in, cause: NoRoom::TooLate };
         }
-        self.last_ticket += 1;
-        let ticket = self.last_ticket;
-        if self.can_start(now) && self.waiting.is_empty() {
+        if is_free {
             self.shares.clear();
-            self.start(ticket, &request, now);
-            return OfferOutcome::Started(ticket);
+            self.last_ticket += 1;
+            self.start(self.last_ticket, &request, now);
+            return OfferOutcome::Started(self.last_ticket);
+        }
+        self.decline_too_late(&forecast);
+        if self.waiting.len() >= self.slots * MAX_WAITING_PER_SLOT {
+            match forecast.iter().rev().find(|f| !f.is_too_late) {
+                Some(last) if last.ticket != Ticket::MAX => {
+                    self.decline(last.ticket, last.starts_in, NoRoom::Displaced);
+                }
+                _ => return OfferOutcome::Declined { free_in, cause: NoRoom::Full },
+            }
         }
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
         self.waiting.push(WaitingRequest { ticket, request });
         OfferOutcome::Waiting(ticket)
     }
@@ -176,23 +233,29 @@
         self.waiting.drain(..).map(|w| w.ticket).collect()
     }
 
-    /// Gives the free slots to waiting requests. Drops those that come up too late to finish by their
-    /// deadline.
+    /// Gives the free slots to waiting requests, and declines those that are not expected to start in time to be
+    /// finished by their deadline. To be called after each change of the queue.
     pub fn start_waiting(&mut self, now: Instant) -> SmallVec<[Dequeued; 4]> {
-        let mut dequeued = SmallVec::new();
+        let mut started = SmallVec::<[Dequeued; 4]>::new();
         while self.can_start(now) {
             let places =
                 self.waiting.iter().map(|w| Place::of(w.ticket, &w.request, &self.shares, now)).enumerate();
             let Some((index, _)) = places.min_by(|a, b| a.1.cmp(&b.1)) else { break };
-            let WaitingRequest { ticket, request } = self.waiting.swap_remove(index);
-            if now + request.expected_run / 2 > request.deadline {
-                dequeued.push(Dequeued::TooLate(ticket));
+            let WaitingRequest { ticket, request } = self.waiting[index];
+            if is_too_late(&request, now) {
+                self.decline(ticket, Duration::ZERO, NoRoom::TooLate);
             } else {
+                self.waiting.swap_remove(index);
                 self.start(ticket, &request, now);
-                dequeued.push(Dequeued::Started(ticket));
+                started.push(Dequeued::Started(ticket));
             }
         }
-        dequeued
+        if !self.waiting.is_empty() {
+            let forecast = self.forecast(None, now);
+            self.decline_too_late(&forecast);
+        }
+        started.extend(self.declined.drain(..));
+        started
     }
 
     /// Expected time until `request` would get a slot if it were offered now.
@@ -200,19 +263,45 @@
         if self.can_start(now) && self.waiting.is_empty() {
             return Duration::ZERO;
         }
+        let forecast = self.forecast(Some(request), now);
+        forecast.iter().find(|f| f.ticket == Ticket::MAX).map_or(Duration::ZERO, |f| f.starts_in)
+    }
+
+    /// When the waiting requests, and `new` with the largest ticket if there is one, are expected to start, in
+    /// the order of their turns.
+    fn forecast(&self, new: Option<&SlotRequest>, now: Instant) -> Vec<Forecast> {
         let waiting = self.waiting.iter().map(|w| (w.ticket, w.request));
-        let all = waiting.chain([(Ticket::MAX, *request)]);
-        let turns = sort_by_turn(all, &self.shares, now);
+        let all = waiting.chain(new.map(|request| (Ticket::MAX, *request)));
         let mut free_in = self.slots_free_in(now);
-        let mut count_ahead = 0;
-        for (_, request) in turns.into_iter().take_while(|(ticket, _)| *ticket != Ticket::MAX) {
-            count_ahead += 1;
-            // Each takes the slot that is free first.
-            if let Some(first) = free_in.iter_mut().min() {
-                *first += request.expected_run;
+        let mut ahead = 0;
+        let forecast = sort_by_turn(all, &self.shares, now).into_iter().map(|(ticket, request)| {
+            let gate_wait = self.gate.wait(ahead, now);
+            let mut unused = Duration::ZERO;
+            let first = free_in.iter_mut().min().unwrap_or(&mut unused);
+            let starts_in = gate_wait.max(*first);
+            let is_too_late = is_too_late(&request, now + starts_in);
+            if !is_too_late {
+                *first = starts_in + request.expected_run;
+                ahead += 1;
             }
+            Forecast { ticket, starts_in, is_too_late }
+        });
+        forecast.collect()
+    }
+
+    /// Declines the waiting requests that can't be finished by their deadline.
+    fn decline_too_late(&mut self, forecast: &[Forecast]) {
+        for late in forecast.iter().filter(|f| f.is_too_late) {
+            self.decline(late.ticket, late.starts_in, NoRoom::TooLate);
+        }
+    }
+
+    /// Removes a request from the waiting ones, if it is one of them.
+    fn decline(&mut self, ticket: Ticket, free_in: Duration, cause: NoRoom) {
+        if let Some(index) = self.waiting.iter().position(|w| w.ticket == ticket) {
+            self.waiting.swap_remove(index);
+            self.declined.push(Dequeued::Declined { ticket, free_in, cause });
         }
-        free_in.into_iter().min().unwrap_or_default().max(self.gate.wait(count_ahead, now))
     }
 
     /// Whether a slot is free and a cold server bears one more request.
@@ -246,6 +335,11 @@
     }
 }
 
+/// Whether a waiting request that starts at `start` can't be finished by its deadline.
+fn is_too_late(request: &SlotRequest, start: Instant) -> bool {
+    start + request.expected_run / MIN_RUN_DIVISOR > request.deadline
+}
+
 /// Expected remaining time of a run, never below [`MIN_REMAINING_PART`]. A run that has exceeded its expected
 /// time is taken to exceed it by as much again.
 fn remaining_run(run: &RunningRequest, now: Instant) -> Duration {
--- a/crates/route/src/waiting_order.rs
+++ b/crates/route/src/waiting_order.rs
@@ -9,18 +9,23 @@
 use crate::customer_shares::{CustomerHash, CustomerShares, virtual_cost};
 use crate::slot_queue::{SlotRequest, Ticket};
 
+/// Multiple of its expected run time that a request must have left to count as able to meet its objective. With 1,
+/// requests under lasting overload start when they have just their mean run time left, and three in ten of them
+/// miss their objective, in place of others that would meet it.
+const OBJECTIVE_MARGIN: f64 = 1.5;
+
 /// How urgent a request is, apart from its customer's share. Smaller ones go first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Urgency {
     nested: Reverse<bool>,
     priority: Priority,
-    /// Whether the request will miss its objective even if it starts now.
+    /// Whether the request is likely to miss its objective even if it starts now.
     is_late: bool,
 }
 
 impl Urgency {
     pub(crate) fn of(request: &SlotRequest, now: Instant) -> Self {
-        let is_late = now + request.expected_run > request.objective_at;
+        let is_late = now + request.expected_run.mul_f64(OBJECTIVE_MARGIN) > request.objective_at;
         Self { nested: Reverse(request.nested), priority: request.priority, is_late }
     }
 }
--- a/crates/route/tests/slot_queue.rs
+++ b/crates/route/tests/slot_queue.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use route::SlotQueue;
-use route::slot_queue::{Dequeued, OfferOutcome, SlotRequest, Ticket};
+use route::slot_queue::{Dequeued, NoRoom, OfferOutcome, SlotRequest, Ticket};
 
 fn request(now: Instant, priority: u8, objective_ms: u64, deadline_ms: u64) -> SlotRequest {
     SlotRequest {
@@ -84,7 +84,9 @@
         waiting(queue.offer(request(now, 1, 1_000, 5_000), now));
     }
     let too_late = queue.offer(request(now, 1, 50, 350), now);
-    assert!(matches!(too_late, OfferOutcome::Declined { free_in } if free_in >= Duration::from_millis(300)));
+    assert!(
+        matches!(too_late, OfferOutcome::Declined { free_in, cause: NoRoom::TooLate } if free_in >= Duration::from_millis(300))
+    );
 }
 
 #[test]
@@ -93,7 +95,8 @@
     let (mut queue, running) = busy(now);
     let ticket = waiting(queue.offer(request(now, 1, 100, 250), now));
     let later = now + Duration::from_millis(240);
-    assert_eq!(next_after(&mut queue, running, later), [Dequeued::TooLate(ticket)]);
+    let declined = Dequeued::Declined { ticket, free_in: Duration::ZERO, cause: NoRoom::TooLate };
+    assert_eq!(next_after(&mut queue, running, later), [declined]);
 }
 
 #[test]
@@ -218,6 +221,90 @@
     assert_eq!(of_the_same, Duration::from_millis(800));
 }
 
+/// A queue with one slot in use, and the eight requests that fill it, each with its ticket.
+fn full(now: Instant) -> (SlotQueue, Vec<Ticket>) {
+    let (mut queue, _) = busy(now);
+    let tickets = (0..8).map(|n| waiting(queue.offer(request(now, 1, 20_000 + n, 60_000), now))).collect();
+    (queue, tickets)
+}
+
+// Guards against urgent requests that are refused because less urgent ones have filled the queue.
+#[test]
+fn an_urgent_request_takes_the_place_of_the_least_urgent_one_in_a_full_queue() {
+    let now = Instant::now();
+    let (mut queue, tickets) = full(now);
+    waiting(queue.offer(request(now, 0, 20_000, 60_000), now));
+    let dequeued = queue.start_waiting(now).into_vec();
+    let [Dequeued::Declined { ticket, free_in, cause: NoRoom::Displaced }] = dequeued[..] else {
+        panic!("{dequeued:?}")
+    };
+    assert_eq!(ticket, tickets[7]);
+    assert_eq!(free_in, Duration::from_millis(900));
+    assert_eq!(queue.waiting(), 8);
+}
+
+// Guards against a queue whose requests displace each other in turn.
+#[rstest::rstest]
+#[case::less_urgent(2, 20_000)]
+#[case::due_later(1, 30_000)]
+fn a_full_queue_declines_a_request_that_is_less_urgent(#[case] priority: u8, #[case] due_ms: u64) {
+    let now = Instant::now();
+    let (mut queue, _) = full(now);
+    let offered = queue.offer(request(now, priority, due_ms, 60_000), now);
+    let free_in = Duration::from_millis(900);
+    assert_eq!(offered, OfferOutcome::Declined { free_in, cause: NoRoom::Full });
+    assert!(queue.start_waiting(now).is_empty());
+}
+
+// Guards against a customer that fills the queue and keeps others out.
+#[test]
+fn a_customer_takes_a_place_of_another_that_has_filled_the_queue() {
+    let now = Instant::now();
+    let (mut queue, _) = busy(now);
+    let tickets: Vec<Ticket> =
+        (0..8).map(|_| waiting(queue.offer(request_of(1, 1.0, 20_000, now), now))).collect();
+    for _ in 0..4 {
+        waiting(queue.offer(request_of(2, 1.0, 30_000, now), now));
+    }
+    let refused = queue.offer(request_of(2, 1.0, 30_000, now), now);
+    assert!(matches!(refused, OfferOutcome::Declined { cause: NoRoom::Full, .. }), "{refused:?}");
+    let displaced = queue.start_waiting(now).into_iter().map(|dequeued| match dequeued {
+        Dequeued::Declined { ticket, cause: NoRoom::Displaced, .. } => ticket,
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(displaced.collect::<Vec<_>>(), [tickets[7], tickets[6], tickets[5], tickets[4]]);
+}
+
+// Guards against requests that learn only at their turn, or by a timeout, that they are too late.
+#[test]
+fn a_request_that_more_urgent_ones_make_too_late_is_declined_at_once() {
+    let now = Instant::now();
+    let (mut queue, _) = busy(now);
+    let ticket = waiting(queue.offer(request(now, 1, 200, 300), now));
+    assert!(queue.start_waiting(now).is_empty());
+    for _ in 0..2 {
+        waiting(queue.offer(request(now, 0, 1_000, 5_000), now));
+    }
+    let declined = Dequeued::Declined { ticket, free_in: Duration::from_millis(300), cause: NoRoom::TooLate };
+    assert_eq!(queue.start_waiting(now).into_vec(), [declined]);
+}
+
+// Guards against requests that wait on behind a run that does not end.
+#[test]
+fn a_request_behind_a_run_that_lasts_too_long_is_declined_before_its_turn() {
+    let now = Instant::now();
+    let (mut queue, _) = busy(now);
+    let ticket = waiting(queue.offer(request(now, 1, 200, 600), now));
+    let patient = waiting(queue.offer(request(now, 1, 1_000, 60_000), now));
+    let later = now + Duration::from_millis(450);
+    let dequeued = queue.start_waiting(later).into_vec();
+    assert!(
+        matches!(dequeued[..], [Dequeued::Declined { ticket: t, cause: NoRoom::TooLate, .. }] if t == ticket),
+        "{dequeued:?}"
+    );
+    assert_eq!(queue.clear_waiting(), [patient]);
+}
+
 /// Requests of a simulated overload.
 const REQUESTS: u64 = 3_000;
 const SLOTS: usize = 5;
