Look at the queue again only when a granted slot was not taken

Cause: each change of the queue was followed by a second forecast of all waiting requests. Change: grant_slots repeats only if a request had given up in the moment in which it got its slot. Result: 368 tests of route and relay pass; clippy clean. The time saved was not measured.

--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -569,12 +569,10 @@
 
 /// Grants free slots to waiting requests, and tells those for which there is no room at once.
 fn grant_slots(state: &mut State, now: Instant) {
-    loop {
-        let dequeued = state.queue.start_waiting(now);
-        if dequeued.is_empty() {
-            return;
-        }
-        for request in dequeued {
+    let mut has_free_slot = true;
+    while has_free_slot {
+        has_free_slot = false;
+        for request in state.queue.start_waiting(now) {
             let (ticket, decision) = match request {
                 Dequeued::Started(ticket) => (ticket, SlotDecision::Granted),
                 Dequeued::Declined { ticket, free_in, cause } => {
@@ -584,6 +582,7 @@
             let is_notified = state.waiters.remove(&ticket).is_some_and(|tx| tx.send(decision).is_ok());
             if matches!(decision, SlotDecision::Granted) && !is_notified {
                 state.queue.remove(ticket);
+                has_free_slot = true;
             }
         }
     }
