Test that an adopted configuration sets the weights of customers

Cause: leaving out the call in Node::adopt_config failed no test. Change: a test with a fleet of one daemon; without the call it sees two starts of a customer instead of three.

--- a/crates/relay/tests/fair_room.rs
+++ b/crates/relay/tests/fair_room.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Act, Backend, SERVICE, eventually, on_one_thread};
+use common::{Act, Backend, SERVICE, eventually, fleet, on_one_thread};
 use conf::compile::SnapshotParts;
-use conf::{AllowedRegions, CallerLimits, Customer, Snapshot};
+use conf::{AllowedRegions, CallerLimits, Customer, KeyHasher, Snapshot};
 use relay::handoff::{DeclineReason, Handoff, Repetition, RunError};
 use relay::header_names::HeaderNames;
 use relay::local_server::LocalServer;
@@ -19,7 +19,7 @@
 const RUN_MS: u64 = 40;
 
 /// A configuration with these customers and their rates.
-fn conf_with(customers: &[(&str, f64)]) -> Arc<Snapshot> {
+fn conf_with(customers: &[(&str, f64)]) -> Snapshot {
     let customer = |(name, rate): &(&str, f64)| Customer {
         name: (*name).into(),
         rate: *rate,
@@ -34,7 +34,7 @@
         routes: Vec::new(),
         limits: CallerLimits::default(),
     };
-    Arc::new(parts.into_snapshot(1).expect("the test's configuration is valid"))
+    parts.into_snapshot(1).expect("the test's configuration is valid")
 }
 
 /// A server with one slot.
@@ -83,29 +83,36 @@
     })
 }
 
-/// Number of the requests of customer `b` among the first `count` that get a slot, if customers `a` and then `b` have
-/// four waiting requests each.
-async fn starts_of_b(conf: Option<Arc<Snapshot>>, count: usize) -> usize {
-    let backend = Backend::start(&[Act::After(RUN_MS)]).await;
-    let server = local_server(&backend);
-    if let Some(conf) = conf {
-        server.set_conf(conf);
+/// Number of the requests of customer `b` among the first `count` that get one of `slots` slots, if customers `a`
+/// and then `b` have four waiting requests each.
+async fn starts_of_b(server: &Rc<LocalServer>, backend: &Backend, slots: usize, count: usize) -> usize {
+    for n in 0..slots {
+        run(server, handoff(None));
+        eventually(|| server.request_count() == n + 1).await;
     }
-    run(&server, handoff(None));
-    eventually(|| server.request_count() == 1).await;
     for customer in ["a", "a", "a", "a", "b", "b", "b", "b"] {
-        run(&server, handoff(Some(customer)));
+        run(server, handoff(Some(customer)));
     }
-    eventually(|| backend.seen.borrow().len() == 9).await;
+    eventually(|| backend.seen.borrow().len() == slots + 8).await;
     let seen = backend.seen.borrow();
-    seen.iter().skip(1).take(count).filter(|seen| seen.headers["x-customer"] == "b").count()
+    seen.iter().skip(slots).take(count).filter(|seen| seen.headers["x-customer"] == "b").count()
+}
+
+/// [`starts_of_b`] at a server with one slot.
+async fn starts_of_b_with(conf: Option<Snapshot>, count: usize) -> usize {
+    let backend = Backend::start(&[Act::After(RUN_MS)]).await;
+    let server = local_server(&backend);
+    if let Some(conf) = conf {
+        server.set_conf(Arc::new(conf));
+    }
+    starts_of_b(&server, &backend, 1, count).await
 }
 
-// Guards against weights that don't reach the queue from the configuration.
+// Guards against weights that don't reach the queue.
 #[test]
 fn a_customer_of_twice_the_rate_has_twice_the_starts() {
     on_one_thread(async {
-        assert_eq!(starts_of_b(Some(conf_with(&[("a", 10.0), ("b", 20.0)])), 6).await, 4);
+        assert_eq!(starts_of_b_with(Some(conf_with(&[("a", 10.0), ("b", 20.0)])), 6).await, 4);
     });
 }
 
@@ -113,7 +120,7 @@
 #[test]
 fn a_customer_of_a_third_of_the_rate_has_a_third_of_the_starts() {
     on_one_thread(async {
-        assert_eq!(starts_of_b(Some(conf_with(&[("a", 30.0), ("b", 10.0)])), 4).await, 1);
+        assert_eq!(starts_of_b_with(Some(conf_with(&[("a", 30.0), ("b", 10.0)])), 4).await, 1);
     });
 }
 
@@ -121,7 +128,7 @@
 #[test]
 fn customers_without_a_known_rate_share_equally() {
     on_one_thread(async {
-        assert_eq!(starts_of_b(None, 4).await, 2);
+        assert_eq!(starts_of_b_with(None, 4).await, 2);
     });
 }
 
@@ -191,3 +198,15 @@
         assert!(took < Duration::from_millis(850), "{took:?}");
     });
 }
+
+// Guards against a daemon that adopts a configuration and goes on with the weights of none.
+#[test]
+fn an_adopted_configuration_sets_the_weights() {
+    on_one_thread(async {
+        let conf = |_: &KeyHasher| conf_with(&[("a", 1.0), ("b", 1_000.0)]);
+        let fleet = fleet(&[&[Act::After(RUN_MS)]], conf).await;
+        let daemon = &fleet.daemons[0];
+        // With equal weights it would be two.
+        assert_eq!(starts_of_b(&daemon.node.local_server, &daemon.backend, 2, 4).await, 3);
+    });
+}
