Test that the order of waiting requests keeps the bound of a cold server

Cause: no test showed that urgent requests and displacement can't pass the gate. Change: 1,000 requests of random urgency in 10 s at a cold server that bears 3 a second. Result: no second has more than 3 starts, and at least 27 requests start.

--- a/crates/route/tests/slot_queue.rs
+++ b/crates/route/tests/slot_queue.rs
@@ -305,6 +305,42 @@
     assert_eq!(queue.clear_waiting(), [patient]);
 }
 
+// Guards against an order or a displacement that starts requests past the gate of a cold server.
+#[test]
+fn a_cold_server_starts_no_more_than_its_limit_in_any_second_whatever_is_urgent() {
+    const LIMIT: usize = 3;
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut queue = SlotQueue::new(4);
+    queue.set_cold_limit(Some(LIMIT));
+    let mut starts: Vec<Instant> = Vec::new();
+    for tick in 0..1_000 {
+        let now = start + Duration::from_millis(10 * tick);
+        let customer = rng.random_range(0..3);
+        let offered = SlotRequest {
+            nested: rng.random_bool(0.1),
+            priority: rng.random_range(0..3),
+            expected_run: Duration::from_millis(10),
+            ..request_of(customer, 1.0 + customer as f64, rng.random_range(50..2_000), now)
+        };
+        let mut started = Vec::new();
+        if let OfferOutcome::Started(ticket) = queue.offer(offered, now) {
+            started.push(ticket);
+        }
+        started.extend(queue.start_waiting(now).into_iter().filter_map(|dequeued| match dequeued {
+            Dequeued::Started(ticket) => Some(ticket),
+            Dequeued::Declined { .. } => None,
+        }));
+        starts.extend(started.iter().map(|_| now));
+        for ticket in started {
+            queue.remove(ticket);
+        }
+    }
+    let most = starts.windows(LIMIT + 1).map(|w| w[LIMIT] - w[0]).min().expect("requests have started");
+    assert!(most >= Duration::from_secs(1), "{most:?}");
+    assert!(starts.len() >= 9 * LIMIT, "the gate must not stay shut: {}", starts.len());
+}
+
 /// Requests of a simulated overload.
 const REQUESTS: u64 = 3_000;
 const SLOTS: usize = 5;
