--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -8,6 +8,8 @@
 //! Requests that will not get a slot in time are declined as soon as that can be foreseen, while another server
 //! may still run them.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
 use conf::Priority;
@@ -272,16 +274,14 @@
     fn forecast(&self, new: Option<&SlotRequest>, now: Instant) -> Vec<Forecast> {
         let waiting = self.waiting.iter().map(|w| (w.ticket, w.request));
         let all = waiting.chain(new.map(|request| (Ticket::MAX, *request)));
-        let mut free_in = self.slots_free_in(now);
+        let mut free_in: BinaryHeap<_> = self.slots_free_in(now).into_iter().map(Reverse).collect();
         let mut ahead = 0;
         let forecast = sort_by_turn(all, &self.shares, now).into_iter().map(|(ticket, request)| {
             let gate_wait = self.gate.wait(ahead, now);
-            let mut unused = Duration::ZERO;
-            let first = free_in.iter_mut().min().unwrap_or(&mut unused);
-            let starts_in = gate_wait.max(*first);
+            let starts_in = free_in.peek().map_or(gate_wait, |first| gate_wait.max(first.0));
             let is_too_late = is_too_late(&request, now + starts_in);
-            if !is_too_late {
-                *first = starts_in + request.expected_run;
+            if !is_too_late && let Some(mut first) = free_in.peek_mut() {
+                first.0 = starts_in + request.expected_run;
                 ahead += 1;
             }
             Forecast { ticket, starts_in, is_too_late }
--- a/crates/route/src/waiting_order.rs
+++ b/crates/route/src/waiting_order.rs
@@ -1,12 +1,11 @@
 //! Order in which waiting requests get the slots of a server.
 
 use std::cmp::{Ordering, Reverse};
-use std::collections::HashMap;
 use std::time::Instant;
 
 use conf::Priority;
 
-use crate::customer_shares::{CustomerHash, CustomerShares, virtual_cost};
+use crate::customer_shares::{CustomerShares, virtual_cost};
 use crate::slot_queue::{SlotRequest, Ticket};
 
 /// Multiple of its expected run time that a request must have left to count as able to meet its objective. With 1,
@@ -45,10 +44,14 @@
 impl Place {
     /// Place of a request that would be the next one of its customer.
     pub(crate) fn of(ticket: Ticket, request: &SlotRequest, shares: &CustomerShares, now: Instant) -> Self {
+        let place = Self::without_share(ticket, request, now);
+        Self { virtual_time: shares.virtual_time_of(place.urgency, request.customer), ..place }
+    }
+
+    fn without_share(ticket: Ticket, request: &SlotRequest, now: Instant) -> Self {
         let urgency = Urgency::of(request, now);
         let due = if urgency.is_late { request.deadline } else { request.objective_at };
-        let virtual_time = shares.virtual_time_of(urgency, request.customer);
-        Self { urgency, virtual_time, due, ticket }
+        Self { urgency, virtual_time: 0.0, due, ticket }
     }
 
     pub(crate) fn cmp(&self, other: &Self) -> Ordering {
@@ -67,14 +70,19 @@
     shares: &CustomerShares,
     now: Instant,
 ) -> Vec<(Ticket, SlotRequest)> {
-    let with_place = |(ticket, request)| (Place::of(ticket, &request, shares, now), request);
-    let mut turns: Vec<(Place, SlotRequest)> = requests.map(with_place).collect();
-    turns.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-    let mut ahead: HashMap<(Urgency, Option<CustomerHash>), f64> = HashMap::new();
+    let mut turns: Vec<(Place, SlotRequest)> =
+        requests.map(|(ticket, request)| (Place::without_share(ticket, &request, now), request)).collect();
+    // The requests of one customer in the order of their turns.
+    turns.sort_unstable_by_key(|(place, request)| (place.urgency, request.customer, place.due, place.ticket));
+    let mut last = None;
+    let mut virtual_time = 0.0;
     for (place, request) in &mut turns {
-        let cost_ahead = ahead.entry((place.urgency, request.customer)).or_default();
-        place.virtual_time += *cost_ahead;
-        *cost_ahead += virtual_cost(request.expected_run, request.weight);
+        let of = (place.urgency, request.customer);
+        if last.replace(of) != Some(of) {
+            virtual_time = shares.virtual_time_of(place.urgency, request.customer);
+        }
+        place.virtual_time = virtual_time;
+        virtual_time += virtual_cost(request.expected_run, request.weight);
     }
     turns.sort_unstable_by(|a, b| a.0.cmp(&b.0));
     turns.into_iter().map(|(place, request)| (place.ticket, request)).collect()
