--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -11,15 +11,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::rendezvous::stable_hash;
-use base::{CustomerId, ServiceId, event};
+use base::{ServiceId, event};
 use bytes::Bytes;
-use conf::Snapshot;
+use conf::{Service, Snapshot};
 use health::{GrayFilter, RequestOutcome};
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use route::placement::ServerCondition;
-use route::slot_queue::{Dequeued, NoRoom, OfferOutcome, SlotRequest, Ticket};
+use route::slot_queue::{Dequeued, OfferOutcome, SlotRequest, Ticket};
 use route::{ColdGate, CostEstimator, RunEstimate, SlotQueue, SpeedEstimator};
 use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::{Notify, oneshot};
@@ -63,8 +62,6 @@
 const HEARTBEATS_AFTER_FAILURE: u8 = 1;
 /// Run time by which the room of a cold server is reckoned while it has no requests.
 const DEFAULT_RUN: Duration = Duration::from_millis(250);
-/// Weight of requests without a customer, and of customers that the configuration in force doesn't have yet.
-const DEFAULT_WEIGHT: f64 = 1.0;
 /// Number of slots assumed before the first heartbeat of the server.
 const INITIAL_SLOTS: usize = 1;
 
@@ -74,7 +71,7 @@
     queue: SlotQueue,
     /// Senders that tell each waiting request whether it got a slot. A sender dropped without a message tells
     /// it that the server takes no more work.
-    waiters: HashMap<Ticket, oneshot::Sender<SlotDecision>>,
+    waiters: HashMap<Ticket, oneshot::Sender<bool>>,
     gray_filter: GrayFilter,
     /// Run time of each route at an average server.
     costs: CostEstimator,
@@ -120,8 +117,6 @@
     pub(crate) header_names: Rc<HeaderNames>,
     pub(crate) pool: Pool,
     state: RefCell<State>,
-    /// Configuration in force, which has the weights of customers.
-    conf: RefCell<Option<Arc<Snapshot>>>,
     /// Notified of each change of the report that other daemons should learn of at once.
     report_changed: Notify,
     /// When a call last failed that the server may have made for one of its running requests.
@@ -133,6 +128,8 @@
     knows_departures: Cell<bool>,
     /// Whether the server's data centre is being evacuated: the server gets no requests.
     is_evacuated: Cell<bool>,
+    /// Requests a second that a cold server bears, for each service that states it.
+    cold_rates: RefCell<HashMap<ServiceId, f64>>,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
 }
@@ -157,13 +154,13 @@
             header_names,
             pool: Pool::new(addr),
             state: RefCell::new(state),
-            conf: RefCell::default(),
             report_changed: Notify::new(),
             call_failed_at: Cell::new(None),
             running_repeats: Cell::new(0),
             is_stopping: Cell::new(false),
             knows_departures: Cell::new(true),
             is_evacuated: Cell::new(false),
+            cold_rates: RefCell::default(),
             ends_at: Cell::new(None),
         }
     }
@@ -208,11 +205,6 @@
         outcome
     }
 
-    /// Puts a configuration in force. Requests that ask for a slot from now on get its weights.
-    pub fn set_conf(&self, conf: Arc<Snapshot>) {
-        self.conf.replace(Some(conf));
-    }
-
     /// Records that the server with this id has left; `wall_ms` is the present Unix time.
     pub fn deregister(&self, id: &str, wall_ms: ServerIncarnation) {
         let mut state = self.state.borrow_mut();
@@ -245,6 +237,12 @@
         self.state.borrow().registration.departures()
     }
 
+    /// Sets how many requests a second cold servers bear.
+    pub fn set_cold_rates(&self, conf: &Snapshot) {
+        let rate = |service: &Arc<Service>| Some((service.name.clone(), service.cold_rate?));
+        self.cold_rates.replace(conf.services.values().filter_map(rate).collect());
+    }
+
     /// Sets whether the server's data centre is being evacuated. Waiting requests are then declined. Afterwards the
     /// server counts as cold until its heartbeats say otherwise.
     pub fn set_evacuated(&self, is_evacuated: bool) {
@@ -264,7 +262,7 @@
     /// Requests a second that the server bears; `None` if it is warm or its service states no limit.
     fn cold_rate(&self, state: &State, now: Instant) -> Option<f64> {
         let server = state.registration.server().filter(|_| state.registration.is_cold(now))?;
-        self.conf.borrow().as_ref()?.services.get(&server.heartbeat.service)?.cold_rate
+        self.cold_rates.borrow().get(&server.heartbeat.service).copied()
     }
 
     /// Applies the limit of a cold server to the queue.
@@ -374,7 +372,7 @@
         let run = self
             .acquire_slot(handoff, now, deadline)
             .await
-            .map_err(|refused| self.log_declined(id.as_ref(), handoff, refused, now))?;
+            .inspect_err(|e| self.log_declined(id.as_ref(), *e, now))?;
         if !receipt.start() {
             return Err(RunError::declined(DeclineReason::GivenUp));
         }
@@ -395,29 +393,20 @@
         exchange.run(req).await
     }
 
-    /// Logs why a request was declined, with the load and the probability that the server is failing. Returns
-    /// the error for the caller's daemon.
-    fn log_declined(
-        &self,
-        id: Option<&HeaderValue>,
-        handoff: &Handoff,
-        refused: SlotRefusal,
-        since: Instant,
-    ) -> RunError {
-        let SlotRefusal { reason, free_in, cause } = refused;
+    /// Logs why a request was declined, with the load and the probability that the server is failing.
+    fn log_declined(&self, id: Option<&HeaderValue>, error: RunError, since: Instant) {
+        let RunError::Declined { reason, free_in } = error else { return };
         let state = self.state.borrow();
         let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
-        let customer = handoff.customer.as_deref().unwrap_or("-");
         let (running, waiting, slots) = (state.queue.running(), state.queue.waiting(), state.queue.slots());
         let (free_in_ms, after_ms) = (free_in.as_millis(), since.elapsed().as_millis());
         event!(
             Info,
             RequestDeclined,
-            "id={id} customer={customer} reason={reason} cause={cause} free_in_ms={free_in_ms} running={running} \
-             waiting={waiting} slots={slots} failing={:.3} after_ms={after_ms}",
+            "id={id} reason={reason} free_in_ms={free_in_ms} running={running} waiting={waiting} slots={slots} \
+             failing={:.3} after_ms={after_ms}",
             state.gray_filter.failure_probability(Instant::now())
         );
-        RunError::Declined { reason, free_in }
     }
 
     async fn acquire_slot(
@@ -425,41 +414,38 @@
         handoff: &Handoff,
         now: Instant,
         deadline: Instant,
-    ) -> Result<RunningRequest, SlotRefusal> {
+    ) -> Result<RunningRequest, RunError> {
         let (mut run, pending) = self.request_slot(handoff, now, deadline)?;
         let Some(pending) = pending else {
             return Ok(run);
         };
         let max_wait = (pending.free_in * SLOT_WAIT_FACTOR).max(MIN_SLOT_WAIT);
-        let decided = self.wait_for_slot(pending.receiver, (now + max_wait).min(deadline)).await;
-        match decided {
-            Some(Ok(SlotDecision::Granted)) => {
+        let granted = self.wait_for_slot(pending.receiver, (now + max_wait).min(deadline)).await;
+        match granted {
+            Some(Ok(true)) => {
                 run.restart_clock(Instant::now());
                 Ok(run)
             }
-            Some(Ok(SlotDecision::Declined { free_in, cause })) => Err(SlotRefusal::busy(free_in, cause)),
-            Some(Err(_cleared)) => Err(DeclineReason::Draining.into()),
-            None => Err(SlotRefusal {
-                reason: DeclineReason::Busy,
-                free_in: pending.free_in,
-                cause: "waited".into(),
-            }),
+            Some(Ok(false)) | None => {
+                Err(RunError::Declined { reason: DeclineReason::Busy, free_in: pending.free_in })
+            }
+            Some(Err(_cleared)) => Err(RunError::declined(DeclineReason::Draining)),
         }
     }
 
-    /// Waits until `until` for the decision on a slot, and meanwhile starts waiting requests whenever a cold server
-    /// bears one more.
+    /// Waits until `until` for the message whether a slot was granted, and meanwhile starts waiting requests whenever
+    /// a cold server bears one more.
     async fn wait_for_slot(
         &self,
-        mut receiver: oneshot::Receiver<SlotDecision>,
+        mut receiver: oneshot::Receiver<bool>,
         until: Instant,
-    ) -> Option<Result<SlotDecision, RecvError>> {
+    ) -> Option<Result<bool, RecvError>> {
         loop {
             let now = Instant::now();
             let gate_wait = self.state.borrow().queue.gate_wait(now);
             let wake_at = gate_wait.map_or(until, |wait| until.min(now + wait));
-            if let Ok(decided) = timeout_at(wake_at.into(), &mut receiver).await {
-                return Some(decided);
+            if let Ok(granted) = timeout_at(wake_at.into(), &mut receiver).await {
+                return Some(granted);
             }
             if wake_at >= until {
                 return None;
@@ -474,33 +460,31 @@
         handoff: &Handoff,
         now: Instant,
         deadline: Instant,
-    ) -> Result<(RunningRequest, Option<PendingSlot>), SlotRefusal> {
+    ) -> Result<(RunningRequest, Option<PendingSlot>), RunError> {
         if self.is_stopping.get() {
-            return Err(DeclineReason::Stopping.into());
+            return Err(RunError::declined(DeclineReason::Stopping));
         }
         if !self.knows_departures.get() {
-            return Err(DeclineReason::NoServer.into());
+            return Err(RunError::declined(DeclineReason::NoServer));
         }
         if self.is_evacuated.get() {
-            return Err(DeclineReason::Evacuated.into());
+            return Err(RunError::declined(DeclineReason::Evacuated));
         }
         let mut state = self.state.borrow_mut();
         self.update_cold_limit(&mut state, now);
-        let server = state.registration.serving(&handoff.service).map_err(SlotRefusal::from)?;
+        let server = state.registration.serving(&handoff.service).map_err(RunError::declined)?;
         let server = server.heartbeat.id.clone();
         let condition = state.condition(now);
         let is_repeatable = handoff.repetition != Repetition::Never;
         let may_probe = is_repeatable && condition == ServerCondition::Probation;
         if condition.is_suspect() && !may_probe && !handoff.allow_suspect {
-            return Err(DeclineReason::Suspect.into());
+            return Err(RunError::declined(DeclineReason::Suspect));
         }
         state.last_offered_at = now;
         let estimate = state.estimate(handoff);
         let request = SlotRequest {
             priority: handoff.priority,
             nested: handoff.nested,
-            customer: handoff.customer.as_ref().map(|name| stable_hash(name.as_bytes())),
-            weight: self.customer_weight(handoff.customer.as_ref()),
             objective_at: now + handoff.objective_left,
             deadline,
             expected_run: estimate.mean(),
@@ -509,7 +493,7 @@
         let time_needed =
             || state.queue.expected_wait(&request, now) + request.expected_run * STOP_RUN_TIME_FACTOR;
         if self.ends_at.get().is_some_and(|at| now + time_needed() > at) {
-            return Err(DeclineReason::Stopping.into());
+            return Err(RunError::declined(DeclineReason::Stopping));
         }
         let (ticket, pending) = match state.queue.offer(request, now) {
             OfferOutcome::Started(ticket) => (ticket, None),
@@ -518,31 +502,19 @@
                 state.waiters.insert(ticket, tx);
                 (ticket, Some(PendingSlot { receiver, free_in: state.queue.expected_wait(&request, now) }))
             }
-            OfferOutcome::Declined { free_in, cause } => {
-                self.grant_slots(&mut state, now);
-                return Err(SlotRefusal::busy(free_in, cause));
+            OfferOutcome::Declined { free_in } => {
+                return Err(RunError::Declined { reason: DeclineReason::Busy, free_in });
             }
         };
         if condition.is_suspect() {
             state.probe = Some(ticket);
         }
-        if pending.is_some() {
-            // The new request may take the place of others, or make them too late.
-            self.grant_slots(&mut state, now);
-        }
         drop(state);
         let local_server = Rc::clone(self);
         let run = RunningRequest::new(local_server, ticket, server, now, handoff);
         Ok((run, pending))
     }
 
-    /// Weight of a customer's share in the slots.
-    fn customer_weight(&self, name: Option<&CustomerId>) -> f64 {
-        let conf = self.conf.borrow();
-        let customer = conf.as_ref().zip(name).and_then(|(conf, name)| conf.customers.get(name));
-        customer.map_or(DEFAULT_WEIGHT, |customer| customer.rate)
-    }
-
     /// Records the run time of a request whose answer is complete. `expected` is the time that the caller's
     /// daemon expects of an average server, if it has learned it.
     pub(crate) fn record_run_time(
@@ -654,7 +626,7 @@
 #[derive(Debug)]
 struct PendingSlot {
     /// Receives whether the slot was granted; closed if the server takes no more work.
-    receiver: oneshot::Receiver<SlotDecision>,
+    receiver: oneshot::Receiver<bool>,
     /// Expected time until the slot is free.
     free_in: Duration,
 }
@@ -665,35 +637,6 @@
     slots.min((rate * mean_run.as_secs_f64()) as usize).max(1)
 }
 
-/// What became of a request that waited for a slot.
-#[derive(Clone, Copy, Debug)]
-enum SlotDecision {
-    Granted,
-    Declined { free_in: Duration, cause: NoRoom },
-}
-
-/// Why a request got no slot.
-#[derive(Debug)]
-struct SlotRefusal {
-    reason: DeclineReason,
-    /// Expected time until the server has a free slot; zero if not known.
-    free_in: Duration,
-    /// What the lack of room is due to; `-` for other reasons.
-    cause: Box<str>,
-}
-
-impl SlotRefusal {
-    fn busy(free_in: Duration, cause: NoRoom) -> Self {
-        Self { reason: DeclineReason::Busy, free_in, cause: cause.to_string().into() }
-    }
-}
-
-impl From<DeclineReason> for SlotRefusal {
-    fn from(reason: DeclineReason) -> Self {
-        Self { reason, free_in: Duration::ZERO, cause: "-".into() }
-    }
-}
-
 /// Drops all requests that wait for a slot, so that they can go to another server.
 fn decline_waiting(state: &mut State) {
     for ticket in state.queue.clear_waiting() {
@@ -701,22 +644,21 @@
     }
 }
 
-/// Starts waiting requests while there are free slots, and tells them, and those for which there is no room, at once.
+/// Starts waiting requests while there are free slots, and tells them.
 fn start_waiting(state: &mut State, now: Instant) {
-    let mut has_free_slot = true;
-    while has_free_slot {
-        has_free_slot = false;
-        for request in state.queue.start_waiting(now) {
-            let (ticket, decision) = match request {
-                Dequeued::Started(ticket) => (ticket, SlotDecision::Granted),
-                Dequeued::Declined { ticket, free_in, cause } => {
-                    (ticket, SlotDecision::Declined { free_in, cause })
-                }
+    loop {
+        let dequeued = state.queue.start_waiting(now);
+        if dequeued.is_empty() {
+            return;
+        }
+        for request in dequeued {
+            let (ticket, has_slot) = match request {
+                Dequeued::Started(ticket) => (ticket, true),
+                Dequeued::TooLate(ticket) => (ticket, false),
             };
-            let is_notified = state.waiters.remove(&ticket).is_some_and(|tx| tx.send(decision).is_ok());
-            if matches!(decision, SlotDecision::Granted) && !is_notified {
+            let is_notified = state.waiters.remove(&ticket).is_some_and(|tx| tx.send(has_slot).is_ok());
+            if has_slot && !is_notified {
                 state.queue.remove(ticket);
-                has_free_slot = true;
             }
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -293,10 +293,9 @@
             for customer in snapshot.customers.values() {
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
+            self.local_server.set_cold_rates(&snapshot);
             self.raw_conf.replace(raw);
-            let snapshot = Arc::new(snapshot);
-            self.local_server.set_conf(Arc::clone(&snapshot));
-            self.snapshot.send_replace(Some(snapshot));
+            self.snapshot.send_replace(Some(Arc::new(snapshot)));
             self.status_changed.notify_one();
         }
         self.freshness.borrow_mut().adopt(version, proven_at);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -21,13 +21,11 @@
 pub mod cold_gate;
 pub mod concurrency_limit;
 pub mod cost;
-pub mod customer_shares;
 pub mod fair_queue;
 pub mod link_budget;
 pub mod placement;
 pub mod retry_budget;
 pub mod slot_queue;
-mod waiting_order;
 
 pub use choice::{Criteria, choose_server};
 pub use cold_gate::ColdGate;
