--- a/crates/conf/src/snapshot.rs
+++ b/crates/conf/src/snapshot.rs
@@ -86,7 +86,7 @@
     pub cross_region: bool,
     /// Requests that may wait in the queue of one daemon.
     pub queue: u32,
-    /// Requests a second that a server bears while it is cold; `None`: as many as a warm one.
+    /// Requests a second that a server can take while it is cold; `None`: as many as a warm one.
     pub cold_rate: Option<f64>,
 }
 
@@ -275,12 +275,15 @@
         group(first_segment(path)).or_else(|| group(""))
     }
 
-    /// Regions in which a request of `customer` on `route` may run.
-    pub fn allowed_regions(&self, route: &Route, customer: Option<&CustomerId>) -> AllowedRegions {
-        match customer.and_then(|name| self.customers.get(name)) {
-            Some(customer) => route.regions.intersect(&customer.regions),
-            None => route.regions.clone(),
-        }
+    /// Regions in which a request of `customer` on `route` may run, by those of the two that this configuration has.
+    pub fn allowed_regions(
+        &self,
+        route: Option<&Arc<Route>>,
+        customer: Option<&CustomerId>,
+    ) -> AllowedRegions {
+        let of_route = route.map_or(&AllowedRegions::All, |route| &route.regions);
+        let customer = customer.and_then(|name| self.customers.get(name));
+        of_route.intersect(customer.map_or(&AllowedRegions::All, |customer| &customer.regions))
     }
 
     /// All routes, in no particular order.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -170,6 +170,10 @@
                 }
             }
         };
+        if reason == RetryReason::Connect && to == self.node.identity.addr {
+            // The server beside this daemon had no room. An answer that its caller doesn't read may hold a slot.
+            self.node.connections.evict_stalled(Instant::now());
+        }
         if !self.tried.contains(&to) {
             self.tried.push(to);
         }
@@ -278,8 +282,6 @@
                 }
                 if reason == DeclineReason::Busy {
                     self.free_in = Some(self.free_in.map_or(free_in, |known| known.min(free_in)));
-                    // An answer that its caller doesn't read holds the slot of its server.
-                    self.node.connections.evict_stalled(Instant::now());
                 }
                 if reason.reached_server() {
                     self.servers_reached += 1;
@@ -344,8 +346,9 @@
         let now = Instant::now();
         let service = &*self.admitted.service;
         let regions = self.allowed_regions();
-        let operator_state = self.node.operator_state.borrow();
-        let may_run_at = |place: &Place| regions.allows(&place.region) && !operator_state.is_evacuated(place);
+        let evacuations = self.node.evacuations.borrow();
+        let may_run_at =
+            |place: &Place| regions.allows(&place.region) && !evacuations.is_evacuated(place, now);
         let peers = self.node.peers.borrow();
         let (mut addrs, mut candidates) = peers.candidates(service, &self.tried, may_run_at, now);
         if may_run_at(&self.node.identity.place) {
@@ -371,10 +374,10 @@
         let admitted = &self.admitted.regions;
         let newer = self.node.conf().filter(|conf| conf.version != self.admitted.version);
         let head = &self.admitted.head;
-        let newer = newer.as_ref().and_then(|conf| {
+        let newer = newer.as_ref().map(|conf| {
             let host = edge::admit::request_host(head);
-            let route = conf.match_route(host, head.uri.path(), head.method.as_str())?;
-            Some(conf.allowed_regions(route, self.admitted.customer.as_ref()))
+            let route = conf.match_route(host, head.uri.path(), head.method.as_str());
+            conf.allowed_regions(route, self.admitted.customer.as_ref())
         });
         newer.map_or_else(|| admitted.clone(), |regions| admitted.intersect(&regions))
     }
--- a/crates/relay/src/config_refresh.rs
+++ b/crates/relay/src/config_refresh.rs
@@ -32,8 +32,6 @@
 pub struct WatchReply {
     /// The newest configuration, unless it is the version that is already known.
     pub fetched: Option<FetchedConfig>,
-    /// What operators ask of the fleet apart from its configuration; `None` if the answer doesn't tell.
-    pub operator_state: Option<OperatorState>,
     /// Time at which `fetched`, or else the known version, was the newest.
     pub proven_at: BootTime,
 }
@@ -57,6 +55,10 @@
     /// decoded.
     async fn watch(&mut self, known: Version, wait: Duration) -> Result<WatchReply, StoreError>;
 
+    /// What operators ask of the fleet apart from its configuration, if the last answer told it. It holds even if the
+    /// answer's configuration can't be used.
+    fn take_operator_state(&mut self) -> Option<OperatorState>;
+
     /// Decoder of the configurations of this source.
     fn decoder(&self) -> Box<dyn ConfigDecoder>;
 }
--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -2,7 +2,8 @@
 //!
 //! At the limit a new connection takes the place of the one that can be closed with the least harm: one without a
 //! request, then one whose request has not arrived whole, then one whose caller doesn't read its answer. No request
-//! that was passed on is lost so, except for a caller that doesn't read.
+//! that was passed on is lost so, except for a caller that doesn't read. Such a connection is also closed when memory
+//! for bodies or slots of the server beside the daemon are short.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -107,7 +107,8 @@
     loop {
         let changed = timeout(OPERATOR_STATE_INTERVAL, node.operator_state_changed.notified()).await.is_ok();
         let now = Instant::now();
-        let state = node.operator_state.borrow().clone();
+        node.apply_evacuations();
+        let state = node.evacuations.borrow().state().clone();
         if changed || !state.evacuated.is_empty() {
             repeat_until = now + OPERATOR_STATE_REPEAT;
         }
@@ -127,10 +128,10 @@
 
 /// Applies what operators ask of the fleet, and passes a change on to this data centre if it came from another one.
 fn handle_operator_state(node: &Node, gossip: &Gossip, from: SocketAddr, state: OperatorState) {
-    let message = Datagram::OperatorState(state.clone());
     if !node.adopt_operator_state(state, &from) {
         return;
     }
+    let message = Datagram::OperatorState(node.evacuations.borrow().state().clone());
     let distance = node.peers.borrow().distance(&from);
     if distance.is_some_and(|distance| distance > Distance::SameDataCentre) {
         for to in centre_addrs(node) {
--- a/crates/relay/src/handoff.rs
+++ b/crates/relay/src/handoff.rs
@@ -34,14 +34,15 @@
 
 /// Header that carries an [`OperatorState`](crate::operator_state::OperatorState), set by the daemon that sends its
 /// configuration.
-pub static STATE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-state");
+pub static OPERATOR_STATE_HEADER: HeaderName = HeaderName::from_static("x-pomelo-state");
 
 /// Number of fields of [`Handoff`] that daemons of an older version don't send. Their shortest encoding takes a byte
 /// each.
 const OPTIONAL_HANDOFF_FIELDS: usize = 4;
 
 /// What the daemon beside the server needs to know to run a request. Encoded with postcard, so fields must
-/// keep their order.
+/// keep their order. New fields must be added at the end, and counted in [`OPTIONAL_HANDOFF_FIELDS`]; daemons of an
+/// older version ignore trailing bytes.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Handoff {
     /// Service that must run the request.
@@ -71,8 +72,7 @@
     pub is_repeat: bool,
     /// Connection on which the request is handed off; 0 if its fate can't be asked for.
     pub connection: ConnectionId,
-    /// Number of the hand-off on its connection. New fields must be added after this one: daemons of an older
-    /// version ignore trailing bytes.
+    /// Number of the hand-off on its connection.
     pub number: HandoffNumber,
     /// Run time that the caller's daemon expects at an average server; `None` if it has seen too few runs of the
     /// route. Daemons of an older version don't send it.
@@ -140,7 +140,7 @@
     /// The hand-off never reached the other daemon.
     #[display("lost")]
     Lost,
-    /// The hand-off had not started when its caller's daemon asked what became of it.
+    /// The hand-off had not started when it was revoked or its connection ended, or it arrived on a closed connection.
     #[display("given-up")]
     GivenUp,
 }
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -192,7 +192,7 @@
     let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
     let (conf, route) = find_route(node, conf, &head)?;
     let customer = authenticate(node, &conf, &route, &head.headers).await?;
-    let regions = conf.allowed_regions(&route, customer.as_ref());
+    let regions = conf.allowed_regions(Some(&route), customer.as_ref());
     if regions.is_empty() {
         return Err(RequestRefusal { customer, ..Refusal::NoRegion.into() });
     }
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -32,8 +32,8 @@
 use crate::exec::LocalExec;
 use crate::fate_questions::{Receipt, SentHandoff, SentHandoffs};
 use crate::handoff::{
-    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, PROOF_AGE_HEADER, REPORT_HEADER,
-    RUN_ERROR_HEADER, RUN_TIME_HEADER, RunError, RunTime, STATE_HEADER,
+    self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, OPERATOR_STATE_HEADER,
+    PROOF_AGE_HEADER, REPORT_HEADER, RUN_ERROR_HEADER, RUN_TIME_HEADER, RunError, RunTime,
 };
 use crate::node::Node;
 use crate::operator_state::OperatorState;
@@ -266,7 +266,7 @@
     let rep = node.links.connect(from, peer).await.ok()?.send(req).await.ok()?;
     let (mut parts, body) = rep.into_parts();
     let proof_age: Duration = handoff::take_header(&mut parts.headers, &PROOF_AGE_HEADER)?;
-    let operator_state = handoff::take_header(&mut parts.headers, &STATE_HEADER);
+    let operator_state = handoff::take_header(&mut parts.headers, &OPERATOR_STATE_HEADER);
     match buffer_body(body, MAX_CONFIG_BYTES).await {
         Ok(raw) => Some(RelayedConfig { raw, proof_age, operator_state }),
         Err(e) => {
@@ -284,7 +284,7 @@
     };
     let mut rep = Response::new(Body::whole(node.raw_conf.borrow().clone()));
     handoff::insert_header(rep.headers_mut(), &PROOF_AGE_HEADER, &age);
-    handoff::insert_header(rep.headers_mut(), &STATE_HEADER, &*node.operator_state.borrow());
+    handoff::insert_header(rep.headers_mut(), &OPERATOR_STATE_HEADER, node.evacuations.borrow().state());
     rep
 }
 
@@ -413,8 +413,8 @@
     let conf = node.conf().ok_or(RunError::declined(DeclineReason::NoServer))?;
     let host = edge::admit::request_host(parts);
     let route = conf.match_route(host, parts.uri.path(), parts.method.as_str());
-    let regions = route.map(|route| conf.allowed_regions(route, handoff.customer.as_ref()));
-    if regions.is_some_and(|regions| !regions.allows(&node.identity.place.region)) {
+    let regions = conf.allowed_regions(route, handoff.customer.as_ref());
+    if !regions.allows(&node.identity.place.region) {
         return Err(RunError::declined(DeclineReason::OutsideRegions));
     }
     Ok(conf)
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -14,7 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -161,10 +161,12 @@
 /// Waits until the caller has read nothing of its answer for [`UNREAD_TIMEOUT`].
 async fn wait_until_unread(delivery: &Delivery) {
     loop {
-        sleep(UNREAD_TIMEOUT / 2).await;
-        if delivery.stalled_since().is_some_and(|since| since.elapsed() >= UNREAD_TIMEOUT) {
+        let now = Instant::now();
+        let ends_at = delivery.stalled_since().unwrap_or(now) + UNREAD_TIMEOUT;
+        if ends_at <= now {
             return;
         }
+        sleep_until(ends_at.into()).await;
     }
 }
 
--- a/crates/relay/src/local_server.rs
+++ b/crates/relay/src/local_server.rs
@@ -22,7 +22,7 @@
 use route::{ColdGate, CostEstimator, RunEstimate, SlotQueue, SpeedEstimator};
 use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::timeout_at;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::body::Body;
 use crate::exchange::ServerExchange;
@@ -128,8 +128,10 @@
     knows_departures: Cell<bool>,
     /// Whether the server's data centre is being evacuated: the server gets no requests.
     is_evacuated: Cell<bool>,
-    /// Requests a second that a cold server bears, for each service that states it.
+    /// Requests a second that a cold server can take, for each service that states it.
     cold_rates: RefCell<HashMap<ServiceId, f64>>,
+    /// Notified when requests wait although a slot is free, because the server is cold.
+    cold_wait_began: Notify,
     /// Set when a graceful stop begins: requests that are not expected to finish by this time are declined.
     ends_at: Cell<Option<Instant>>,
 }
@@ -161,6 +163,7 @@
             knows_departures: Cell::new(true),
             is_evacuated: Cell::new(false),
             cold_rates: RefCell::default(),
+            cold_wait_began: Notify::new(),
             ends_at: Cell::new(None),
         }
     }
@@ -259,7 +262,7 @@
         self.report_changed.notify_one();
     }
 
-    /// Requests a second that the server bears; `None` if it is warm or its service states no limit.
+    /// Requests a second that the server can take; `None` if it is warm or its service states no limit.
     fn cold_rate(&self, state: &State, now: Instant) -> Option<f64> {
         let server = state.registration.server().filter(|_| state.registration.is_cold(now))?;
         self.cold_rates.borrow().get(&server.heartbeat.service).copied()
@@ -275,6 +278,9 @@
     fn grant_slots(&self, state: &mut State, now: Instant) {
         self.update_cold_limit(state, now);
         start_waiting(state, now);
+        if state.queue.gate_wait(now).is_some() {
+            self.cold_wait_began.notify_waiters();
+        }
     }
 
     /// Waits for the next change of the report that other daemons should learn of at once.
@@ -434,7 +440,7 @@
     }
 
     /// Waits until `until` for the message whether a slot was granted, and meanwhile starts waiting requests whenever
-    /// a cold server bears one more.
+    /// a cold server can take one more.
     async fn wait_for_slot(
         &self,
         mut receiver: oneshot::Receiver<bool>,
@@ -442,15 +448,20 @@
     ) -> Option<Result<bool, RecvError>> {
         loop {
             let now = Instant::now();
+            let cold_wait_began = self.cold_wait_began.notified();
             let gate_wait = self.state.borrow().queue.gate_wait(now);
             let wake_at = gate_wait.map_or(until, |wait| until.min(now + wait));
-            if let Ok(granted) = timeout_at(wake_at.into(), &mut receiver).await {
-                return Some(granted);
-            }
-            if wake_at >= until {
-                return None;
+            tokio::select! {
+                biased;
+                granted = &mut receiver => return Some(granted),
+                () = cold_wait_began => {}
+                () = sleep_until(wake_at.into()) => {
+                    if wake_at >= until {
+                        return None;
+                    }
+                    self.grant_slots(&mut self.state.borrow_mut(), Instant::now());
+                }
             }
-            self.grant_slots(&mut self.state.borrow_mut(), Instant::now());
         }
     }
 
@@ -631,7 +642,7 @@
     free_in: Duration,
 }
 
-/// Slots that a server can keep in use: those of a cold server by the rate of requests that it bears.
+/// Slots that a server can keep in use: those of a cold server by the rate of requests that it can take.
 fn usable_slots(slots: usize, cold_rate: Option<f64>, mean_run: Duration) -> usize {
     let Some(rate) = cold_rate else { return slots };
     slots.min((rate * mean_run.as_secs_f64()) as usize).max(1)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -34,7 +34,7 @@
 use crate::links::Links;
 use crate::local_server::LocalServer;
 use crate::metrics::Metrics;
-use crate::operator_state::{OperatorState, UpdateOutcome};
+use crate::operator_state::{Evacuations, OperatorState, UpdateOutcome};
 use crate::peers::Peers;
 use crate::store_era::StoreEra;
 
@@ -123,7 +123,7 @@
     /// What other daemons have told of newer configurations.
     pub(crate) config_news: Cell<ConfigNews>,
     /// What operators ask of the fleet apart from its configuration.
-    pub operator_state: RefCell<OperatorState>,
+    pub evacuations: RefCell<Evacuations>,
     /// Notified when the store told a change of `operator_state`, which other daemons should learn of at once.
     pub(crate) operator_state_changed: Notify,
     /// Latest era of the store, shared with the clients of the store.
@@ -188,7 +188,7 @@
             raw_conf: RefCell::default(),
             freshness: RefCell::default(),
             config_news: Cell::default(),
-            operator_state: RefCell::default(),
+            evacuations: RefCell::default(),
             operator_state_changed: Notify::new(),
             body_memory: BodyMemory::new(bounds.body_memory),
             connections: ConnectionLimit::new(bounds.max_caller_connections),
@@ -307,17 +307,26 @@
     pub(crate) fn adopt_operator_state(&self, state: OperatorState, source: &dyn Display) -> bool {
         let stamp = state.stamp;
         self.hear_of_store_era(stamp.era);
-        let outcome = self.operator_state.borrow_mut().update(state);
-        if outcome != UpdateOutcome::Changed {
-            return false;
+        let outcome = self.evacuations.borrow_mut().update(state, Instant::now());
+        if outcome == UpdateOutcome::Changed {
+            let evacuations = self.evacuations.borrow();
+            let evacuated: Vec<&str> = evacuations.state().evacuated.iter().map(|centre| &**centre).collect();
+            event!(
+                Info,
+                EvacuationChanged,
+                "evacuated=[{}] stamp={stamp} source={source}",
+                evacuated.join(",")
+            );
+            self.metrics.evacuated_centres.set(evacuated.len() as i64);
         }
-        let state = self.operator_state.borrow();
-        let evacuated: Vec<&str> = state.evacuated.iter().map(|centre| &**centre).collect();
-        event!(Info, EvacuationChanged, "evacuated=[{}] stamp={stamp} source={source}", evacuated.join(","));
-        self.metrics.evacuated_centres.set(evacuated.len() as i64);
-        self.local_server.set_evacuated(state.is_evacuated(&self.identity.place));
-        self.status_changed.notify_one();
-        true
+        self.apply_evacuations();
+        matches!(outcome, UpdateOutcome::Changed | UpdateOutcome::LaterEra)
+    }
+
+    /// Tells the local server whether its data centre is being evacuated now.
+    pub(crate) fn apply_evacuations(&self) {
+        let is_evacuated = self.evacuations.borrow().is_evacuated(&self.identity.place, Instant::now());
+        self.local_server.set_evacuated(is_evacuated);
     }
 
     /// Records that `version` was still the newest one at `proven_at`; ignored unless it is the version in
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -37,7 +37,7 @@
     pub slots: u16,
     /// Whether the server is shutting down and takes no new requests.
     pub draining: bool,
-    /// Remaining time for which the server is cold: it is slow and bears few requests.
+    /// Remaining time for which the server is cold: it is slow and can take few requests.
     pub cold_for: Duration,
 }
 
@@ -125,9 +125,7 @@
             self.server = Some(RegisteredServer { heartbeat, cold_until });
             return HeartbeatOutcome::Registered;
         };
-        if heartbeat.sequence > known.heartbeat.sequence {
-            self.unproven_heartbeats = self.unproven_heartbeats.saturating_sub(1);
-        }
+
         let old = &known.heartbeat;
         if heartbeat.born < old.born {
             return HeartbeatOutcome::Outdated;
@@ -140,7 +138,9 @@
         if heartbeat.service != old.service {
             return HeartbeatOutcome::ServiceChanged;
         }
-        if heartbeat.sequence <= old.sequence {
+        if heartbeat.sequence > old.sequence {
+            self.unproven_heartbeats = self.unproven_heartbeats.saturating_sub(1);
+        } else {
             // Draining is final for one incarnation, so it counts also if the heartbeat is late.
             if !heartbeat.draining || old.draining {
                 return HeartbeatOutcome::Late;
@@ -187,7 +187,7 @@
         self.unproven_heartbeats = self.unproven_heartbeats.max(heartbeats);
     }
 
-    /// Whether the server bears only the requests of a cold one.
+    /// Whether the server is limited to the rate of a cold one.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.unproven_heartbeats > 0 || self.server.as_ref().is_some_and(|s| now < s.cold_until)
     }
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -153,6 +153,11 @@
     // A store that has failed shows at once whether it answers again; the next query may wait for a change.
     let wait = if known > 0 && backoff.is_up { MAX_WATCH_WAIT } else { Duration::ZERO };
     let answer = source.watch(known, wait).await;
+    if let Some(state) = source.take_operator_state()
+        && node.adopt_operator_state(state, &"store")
+    {
+        node.operator_state_changed.notify_one();
+    }
     let now = Instant::now();
     match answer {
         Ok(reply) => {
@@ -186,11 +191,6 @@
 }
 
 fn apply_reply(node: &Node, reply: WatchReply, known: Version, sent_at: Instant, backoff: &mut Backoff) {
-    if let Some(state) = reply.operator_state
-        && node.adopt_operator_state(state, &"store")
-    {
-        node.operator_state_changed.notify_one();
-    }
     match reply.fetched {
         Some(fetched) => node.adopt_config(fetched, reply.proven_at, &"store"),
         // The operators have not written a configuration yet.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -474,7 +474,7 @@
     let callers_addr = callers.local_addr().expect("a bound address");
     let (stop, kill, ended) = (CancellationToken::new(), CancellationToken::new(), CancellationToken::new());
     let sockets = Sockets { callers, handoffs, datagrams };
-    let source_client = SourceClient { incarnation, source: Rc::clone(source), hasher };
+    let source_client = SourceClient { incarnation, source: Rc::clone(source), hasher, operator_state: None };
     let table: Rc<dyn Table> = Rc::clone(rows) as Rc<dyn Table>;
     let running = run_daemon(Rc::clone(&node), sockets, source_client, table, stop.clone());
     let (killed, done) = (kill.clone(), ended.clone());
--- a/crates/relay/tests/common/source.rs
+++ b/crates/relay/tests/common/source.rs
@@ -50,6 +50,8 @@
     pub source: Rc<Source>,
     /// Hashes the keys for the daemon.
     pub hasher: KeyHasher,
+    /// What the last answer told of evacuations.
+    pub operator_state: Option<OperatorState>,
 }
 
 #[async_trait(?Send)]
@@ -77,8 +79,12 @@
         self.source.answers.set(self.source.answers.get() + 1);
         let stamp = StoreStamp { era: 0, version: self.source.answers.get() };
         let evacuated = self.source.evacuated.borrow().clone();
-        let operator_state = Some(OperatorState { stamp, evacuated });
-        Ok(WatchReply { fetched, operator_state, proven_at: asked_at })
+        self.operator_state = Some(OperatorState { stamp, evacuated });
+        Ok(WatchReply { fetched, proven_at: asked_at })
+    }
+
+    fn take_operator_state(&mut self) -> Option<OperatorState> {
+        self.operator_state.take()
     }
 
     fn decoder(&self) -> Box<dyn ConfigDecoder> {
--- a/crates/relay/tests/places.rs
+++ b/crates/relay/tests/places.rs
@@ -69,7 +69,7 @@
 /// Waits until `fleet`'s daemon of the data centre `canas` is known to be evacuated, or not, by all daemons.
 async fn wait_for_evacuation(fleet: &Fleet, is_evacuated: bool) {
     let canas = fleet.daemons[2].node.identity.place.clone();
-    let knows = |d: &Daemon| d.node.operator_state.borrow().is_evacuated(&canas) == is_evacuated;
+    let knows = |d: &Daemon| d.node.evacuations.borrow().is_evacuated(&canas, Instant::now()) == is_evacuated;
     let started = Instant::now();
     eventually(|| fleet.daemons.iter().all(knows)).await;
     assert!(started.elapsed() < EVACUATION_TIME, "{:?}", started.elapsed());
@@ -210,3 +210,19 @@
         assert!(sent.elapsed() >= Duration::from_secs(1), "{:?}", sent.elapsed());
     });
 }
+
+// Guards against a request that waits behind the limit of a cold server without a timer, because it began to wait
+// while all slots were in use.
+#[test]
+fn a_request_starts_when_the_limit_of_a_cold_server_allows_although_slots_were_in_use() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::After(300)]], cold_conf).await;
+        let daemon = &fleet.daemons[0];
+        sleep(Duration::from_millis(1_100)).await;
+        daemon.cold_heartbeat(1, 2, false, Duration::from_secs(30));
+        let ids = ["o1", "o2", "o3"];
+        let reps = futures_util::future::join_all(ids.map(|id| daemon.post("/order/1", id))).await;
+        assert!(reps.iter().all(|rep| status(rep) == 200), "{reps:?}");
+        assert_eq!(daemon.node.metrics.declines.with_label_values(&["busy"]).get(), 0);
+    });
+}
--- a/crates/route/src/slot_queue.rs
+++ b/crates/route/src/slot_queue.rs
@@ -119,7 +119,7 @@
         self.gate.take_back(started);
     }
 
-    /// Time after which [`Self::start_waiting`] should be called because a cold server bears one more request;
+    /// Time after which [`Self::start_waiting`] should be called because a cold server can take one more request;
     /// `None` if nothing waits for that.
     pub fn gate_wait(&self, now: Instant) -> Option<Duration> {
         let is_held = !self.waiting.is_empty() && self.running.len() < self.slots;
@@ -211,7 +211,7 @@
         free_in.into_iter().min().unwrap_or_default().max(self.gate.wait(count_ahead, now))
     }
 
-    /// Whether a slot is free and a cold server bears one more request.
+    /// Whether a slot is free and a cold server can take one more request.
     fn can_start(&self, now: Instant) -> bool {
         self.running.len() < self.slots && self.gate.wait(0, now).is_zero()
     }
