Keep the port of a test's unreachable server bound

No scripted server answers 401 and a daemon's own has a reason; the fixture frees the port of the server that should refuse connections, and a daemon of a test beside it listened there. The port stays bound without a listener now.

--- a/crates/relay/tests/slow_runs.rs
+++ b/crates/relay/tests/slow_runs.rs
@@ -12,7 +12,7 @@
 };
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Run time of the slow server in milliseconds; a run is overdue after 1.2 s.
 const SLOW_MS: u64 = 3_500;
@@ -47,10 +47,14 @@
     daemon.node.peers.borrow().candidates(SERVICE, &[], |_| true, Instant::now()).0.len()
 }
 
-/// A server that refuses connections.
+/// A server that refuses connections. Its port stays bound, since a test that runs beside this one could listen on a
+/// free one.
 async fn unreachable_backend() -> Rc<Backend> {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    Backend::at(listener.local_addr().expect("a bound address"))
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+    let backend = Backend::at(socket.local_addr().expect("a bound address"));
+    Box::leak(Box::new(socket));
+    backend
 }
 
 /// Sends a request, and returns once it is running at the slow server.
