--- a/crates/relay/tests/slow_runs.rs
+++ b/crates/relay/tests/slow_runs.rs
@@ -49,7 +49,7 @@
 
 /// A server that refuses connections. Its port stays bound, since a test that runs beside this one could listen on a
 /// free one.
-async fn unreachable_backend() -> Rc<Backend> {
+fn unreachable_backend() -> Rc<Backend> {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
     let backend = Backend::at(socket.local_addr().expect("a bound address"));
@@ -82,7 +82,7 @@
     on_one_thread(async {
         let other = match act {
             Some(act) => Backend::start(&[act]).await,
-            None => unreachable_backend().await,
+            None => unreachable_backend(),
         };
         let fleet = fleet(other).await;
         let mut caller = start_request(&fleet, entry, "GET", "/stock/a").await;
