--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -43,7 +43,7 @@
     305 StoreStillDown "A further query of the store has failed.";
     306 StoreRestored "The store was restored from a copy and has begun a new era.";
     307 StoreOutdated "An answer of the store from before its restore was refused.";
-    308 RowRewritten "A row of this daemon that the restored store lacked is written again.";
+    308 RowRewritten "A row of this daemon was written again after a restore of the store.";
     401 ConfigApplied "A new configuration version is in force in this daemon.";
     402 ConfigRefused "A configuration was refused by validation.";
     403 ConfigConflict "Two operators changed the configuration at the same time.";
--- a/crates/fate/src/asker.rs
+++ b/crates/fate/src/asker.rs
@@ -174,7 +174,7 @@
             Fate::NeverCame if self.peer == Some(incarnation) => return Some(Verdict::NotRun(fate)),
             // A process that started later answers: the earlier one may have run the request.
             Fate::NeverCame | Fate::Started => handoff.may_have_run = true,
-            // An answer to an earlier question without `revoke` does not settle one with it.
+            // It may answer an earlier question without `revoke`, so the later one is still asked.
             Fate::Waiting => {}
         }
         handoff.is_confirmed = true;
--- a/crates/relay/src/ended_stream.rs
+++ b/crates/relay/src/ended_stream.rs
@@ -8,7 +8,8 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-/// A stream that cancels a token when it is closed by its peer or fails, before the reader learns of it.
+/// Cancels a token when a read returns end of file or any operation fails. The HTTP/2 connection tells its requests
+/// of this only later.
 #[derive(Debug)]
 pub(crate) struct EndedStream {
     stream: TcpStream,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -93,7 +93,7 @@
         self.sent.send(self.id, Instant::now())
     }
 
-    /// Sends a request and waits for the head of the answer. A connection that fails is not used again.
+    /// Sends a request and waits for the head of the answer. After an error the connection is not used again.
     pub(crate) async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, LinkError> {
         self.sender.send_request(req).await.map_err(|e| {
             self.sent.mark_broken(self.id, Instant::now());
@@ -370,7 +370,8 @@
     let result = tokio::select! {
         biased;
         () = receipt.given_up() => Err(given_up),
-        // The runs that end with the connection free their slots; what waits on the same one must not take them.
+        // When a connection ends, its running requests free their slots. Requests of the same connection that still
+        // wait must not take them.
         () = ended_before_start(&receipt, ended) => Err(given_up),
         result = receive_and_run(node, &handoff, &receipt, req) => result,
     };
--- a/crates/relay/src/store_watch.rs
+++ b/crates/relay/src/store_watch.rs
@@ -48,7 +48,8 @@
 /// daemons have written their rows.
 const FIRST_START_DISCOVERY_WAIT: Duration = Duration::from_secs(1);
 /// Time after the start for which a daemon without a configuration leaves that of a restored store unused. The copy may
-/// hold an older one than other daemons have in force, which tell of theirs when this one introduces itself.
+/// hold an older one than other daemons have in force, which tell of theirs when this one introduces itself. Applies at
+/// every start once the store was restored, since a daemon that starts can't tell how long ago that was.
 const RESTORED_START_WAIT: Duration = Duration::from_millis(800);
 /// [`RESTORED_START_WAIT`] if other daemons have told of a configuration, which may take a while to arrive.
 const MAX_RESTORED_START_WAIT: Duration = Duration::from_secs(3);
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -2,7 +2,7 @@
 //!
 //! The requests of one route differ in cost, often by a factor of ten, and their costs change over the day.
 //! [`CostEstimator`] keeps a decayed histogram for each route; [`RunEstimate`] tells from it how long a run
-//! takes, and how long one takes still that has lasted for a while. [`SpeedEstimator`] learns how much slower
+//! takes, and the remaining time of one that has lasted for a while. [`SpeedEstimator`] learns how much slower
 //! one server is than the others.
 
 use std::collections::HashMap;
@@ -22,10 +22,10 @@
 const MAX_ROUTES: usize = 16_384;
 /// Runs of a route after which its estimate is good enough to tell a server's speed by it.
 const LEARNED_RUNS: f32 = 8.0;
-/// Weight, in runs, of the assumption about runs longer than those seen: what a run takes still is never less
+/// Weight, in runs, of the assumption about runs longer than those seen: the remaining time of a run is never less
 /// than a part of the mean, and a run beyond the mean is taken to exceed it by as much again.
 const PRIOR_RUNS: f32 = 0.5;
-/// Lower bound of the time that a run takes still by that assumption, as a part of the mean.
+/// Lower bound of the remaining time of a run by that assumption, as a part of the mean.
 const MIN_REMAINING_PART: f32 = 0.25;
 /// Times, as multiples of the mean, for which an estimate knows the remaining time.
 const ELAPSED_POINTS: [f32; 8] = [0.0, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -249,7 +249,7 @@
         if cost.is_zero() {
             return;
         }
-        // One hung run says no more than the bound.
+        // A single hung run counts at most as the upper bound.
         let ratio = (took.as_secs_f64() / cost.as_secs_f64()).min(SLOWNESS_BOUNDS.1);
         self.weight = self.weight * (1.0 - f64::from(DECAY)) + 1.0;
         self.ratios = self.ratios * (1.0 - f64::from(DECAY)) + ratio;
