--- /dev/null
+++ b/review/stand-2/crowd.rs
@@ -0,0 +1,146 @@
+//! Case: a crowd of callers that don't behave makes a daemon outgrow the memory of its instance.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::cases::{self, Attempts};
+use crate::http;
+use crate::world::{BROKEN, HELD, HOST, KEY, NOT_RUN, World, config, has_trouble};
+
+/// Limits of callers in the configuration: the first two in bytes.
+pub const LIMITS: &str =
+    "{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":20000}";
+/// Memory of the instance.
+const MEMORY_BYTES: u64 = 260 * 1024 * 1024;
+/// Connections that send a head of legal size but for its last line.
+const HEADS: usize = 1_400;
+const HEAD_BYTES: usize = 16_300;
+/// Connections that send many requests ahead and read no answer.
+const AHEAD: usize = 400;
+const REQUESTS_AHEAD: usize = 850;
+/// Connections that send a body of legal size and stop just short of its end.
+const BODIES: usize = 200;
+const BODY_BYTES: usize = 1_000_000;
+/// Time in which the daemon reads what a group has sent.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Threads that open the connections.
+const OPENERS: usize = 40;
+/// Time without trouble before the crowd comes, and after the last of it.
+const CALM: Duration = Duration::from_secs(2);
+const AFTER: Duration = Duration::from_secs(4);
+
+pub fn run(record: &str) {
+    let mut world = World::new(record, &config(1, 10_000, LIMITS));
+    cases::add_instances(&mut world, &["paraiso", "barva"], Duration::from_millis(300));
+    world.start();
+    let to = world.daemons[0].callers();
+    let attempts = Attempts::default();
+    let until = Instant::now() + Duration::from_secs(30);
+    for name in ["order-a", "order-b"] {
+        let (order, pace) =
+            (("POST", "/order/1", b"one crate".as_slice()), (Duration::from_millis(50), until));
+        cases::start_client(name, to, &world.record, order, pace, &attempts);
+    }
+    thread::sleep(CALM);
+    let gathering = has_trouble().then(|| gather(to, &world));
+    let (mut largest, mut calm_until) = (0, Instant::now() + CALM + AFTER);
+    let mut crowd = Vec::new();
+    let mut gathering = gathering;
+    let outgrown = loop {
+        let memory = world.daemons[0].memory();
+        largest = largest.max(memory);
+        if memory > MEMORY_BYTES {
+            break true;
+        }
+        if !world.daemons[0].is_running() {
+            eprintln!("the daemon ended by itself");
+            break true;
+        }
+        if let Some(done) = gathering.take_if(|g| g.is_finished()) {
+            crowd = done.join().expect("no panic");
+            calm_until = Instant::now() + AFTER;
+        }
+        if gathering.is_none() && Instant::now() >= calm_until {
+            break false;
+        }
+        thread::sleep(Duration::from_millis(20));
+    };
+    world.record.add(&format!("largest resident memory of the daemon: {} kB", largest / 1024));
+    let ended_at = Instant::now();
+    if outgrown {
+        world.record.add("platform kills the daemon: it is over the memory of its instance");
+        world.daemons[0].kill();
+    }
+    thread::sleep(Duration::from_secs(1));
+    drop(crowd);
+    let runs = cases::count_runs(&world);
+    let all = attempts.lock().expect("no panic").clone();
+    let before = ended_at - Duration::from_secs(1);
+    let lost: Vec<_> =
+        all.iter().filter(|a| a.status == 0 && a.sent_at > before && a.sent_at < ended_at).collect();
+    let ran = lost.iter().filter(|a| runs.contains_key(&a.id)).count();
+    let served = all.iter().filter(|a| a.status == 200).count();
+    println!(
+        "largest memory {} of {} kB; orders served {served}, without an answer as the daemon ended {}, of which had run {ran}",
+        largest / 1024,
+        MEMORY_BYTES / 1024,
+        lost.len()
+    );
+    if served == 0 {
+        world.end(NOT_RUN);
+    }
+    world.end(if outgrown { BROKEN } else { HELD });
+}
+
+/// Opens the connections of the crowd, which stay open. Each group comes once the daemon has read the one before.
+fn gather(to: SocketAddr, world: &World) -> thread::JoinHandle<Vec<TcpStream>> {
+    let record = world.record.clone();
+    let mut head = b"GET /a HTTP/1.1\r\nHost: a\r\nA: ".to_vec();
+    head.resize(HEAD_BYTES, b'a');
+    let ahead = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n".repeat(REQUESTS_AHEAD);
+    let mut upload = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: crowd\r\nDeadline-Ms: 10000\r\nApi-Key: {KEY}\r\n\
+         Content-Length: {BODY_BYTES}\r\n\r\n"
+    )
+    .into_bytes();
+    upload.resize(upload.len() + BODY_BYTES - 1_000, b'a');
+    thread::spawn(move || {
+        let mut crowd = Vec::new();
+        let groups = [
+            (AHEAD, format!("{REQUESTS_AHEAD} requests ahead and read no answer"), ahead),
+            (HEADS, format!("a head of {HEAD_BYTES} bytes without its end"), head),
+            (BODIES, format!("a body of {BODY_BYTES} bytes but for the last 1,000"), upload),
+        ];
+        for (count, what, bytes) in groups {
+            record.add(&format!("crowd: {count} connections send {what}"));
+            crowd.extend(open_all(to, count, &Arc::new(bytes)));
+            thread::sleep(PAUSE);
+        }
+        record.add(&format!("crowd: {} connections are open", crowd.len()));
+        crowd
+    })
+}
+
+/// Opens connections, several at a time, and sends `bytes` on each. The daemon need not take all of them.
+fn open_all(to: SocketAddr, count: usize, bytes: &Arc<Vec<u8>>) -> Vec<TcpStream> {
+    let open_some = |_| {
+        let bytes = Arc::clone(bytes);
+        thread::spawn(move || {
+            let mut open = Vec::new();
+            for _ in 0..count / OPENERS {
+                // While the daemon is busy, its queue of new connections may be full.
+                let opened = (0..3).find_map(|_| http::connect(to, Duration::from_secs(1)).ok());
+                if let Some(mut stream) = opened {
+                    let _ = stream.write_all(&bytes);
+                    open.push(stream);
+                }
+            }
+            open
+        })
+    };
+    let openers: Vec<_> = (0..OPENERS).map(open_some).collect();
+    openers.into_iter().flat_map(|opener| opener.join().expect("no panic")).collect()
+}
--- /dev/null
+++ b/review/stand-2/main.rs
@@ -0,0 +1,34 @@
+//! Stand-ins and cases of the second review.
+
+mod behind;
+mod cases;
+mod crowd;
+mod daemon;
+mod http;
+mod json;
+mod refusal;
+mod server;
+mod slow;
+mod store;
+mod upload;
+mod world;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let case = args.next().unwrap_or_default();
+    let record = args.next().unwrap_or_else(|| "record.txt".into());
+    let run = match case.as_str() {
+        "behind" => behind::run,
+        "crowd" => crowd::run,
+        "refusal" => refusal::run,
+        "slow" => slow::run,
+        "upload" => upload::run,
+        _ => {
+            eprintln!("no case {case:?}");
+            std::process::exit(world::NOT_RUN);
+        }
+    };
+    // A run ends the process itself. It returns only by a panic, after which its daemons have been ended.
+    let _panicked = std::panic::catch_unwind(|| run(&record));
+    std::process::exit(world::NOT_RUN);
+}
