--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -6,9 +6,12 @@
 mod daemon;
 mod http;
 mod json;
+mod outage;
 mod refusal;
+mod restore;
 mod server;
 mod slow;
+mod starve;
 mod store;
 mod upload;
 mod world;
@@ -16,11 +19,14 @@
 fn main() {
     let mut args = std::env::args().skip(1);
     let case = args.next().unwrap_or_default();
-    let record = args.next().unwrap_or_else(|| "record.txt".into());
+    let record = args.next().unwrap_or_else(|| "/dev/null".into());
     let run = match case.as_str() {
         "behind" => behind::run,
         "crowd" => crowd::run,
+        "outage" => outage::run,
         "refusal" => refusal::run,
+        "restore" => restore::run,
+        "starve" => starve::run,
         "slow" => slow::run,
         "upload" => upload::run,
         _ => {
--- a/review/stand-2/server.rs
+++ b/review/stand-2/server.rs
@@ -30,7 +30,7 @@
     born_ms: u128,
     sequence: AtomicU64,
     pub is_draining: AtomicBool,
-    pub has_ended: AtomicBool,
+    has_deregistered: AtomicBool,
     pub runs: Arc<Mutex<Vec<Run>>>,
     work: Box<Work>,
 }
@@ -55,16 +55,13 @@
             born_ms,
             sequence: AtomicU64::new(0),
             is_draining: AtomicBool::new(false),
-            has_ended: AtomicBool::new(false),
+            has_deregistered: AtomicBool::new(false),
             runs: Arc::clone(runs),
             work,
         });
         let serving = Arc::clone(&server);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if serving.has_ended.load(SeqCst) {
-                    return;
-                }
                 let serving = Arc::clone(&serving);
                 thread::spawn(move || serving.serve(stream));
             }
@@ -74,6 +71,19 @@
 
     /// Sends one heartbeat; true if it was acknowledged.
     pub fn send_heartbeat(&self, to: SocketAddr) -> bool {
+        http::call(to, &self.next_heartbeat(), Duration::from_secs(1)).is_ok_and(|a| a.status() / 100 == 2)
+    }
+
+    /// Says that the server is gone; true if that was acknowledged. The server goes on serving.
+    pub fn deregister(&self, from: SocketAddr) -> bool {
+        self.has_deregistered.store(true, SeqCst);
+        let path = format!("/pomelopath/instances/{}", self.id);
+        let request = http::request("DELETE", &path, &[("Host", "platform")], b"");
+        http::call(from, &request, Duration::from_secs(1)).is_ok_and(|a| a.status() / 100 == 2)
+    }
+
+    /// The next heartbeat, to be sent now or to arrive late.
+    pub fn next_heartbeat(&self) -> Vec<u8> {
         let sequence = self.sequence.fetch_add(1, SeqCst) + 1;
         let state = if self.is_draining.load(SeqCst) { "draining" } else { "ready" };
         let Self { addr, service, zone, slots, born_ms, id, .. } = self;
@@ -83,15 +93,14 @@
              \"coldMs\":0}}}}"
         );
         let headers = [("Host", "platform"), ("Content-Type", "application/json")];
-        let request = http::request("PUT", &format!("/pomelopath/instances/{id}"), &headers, body.as_bytes());
-        http::call(to, &request, Duration::from_secs(1)).is_ok_and(|a| a.status() / 100 == 2)
+        http::request("PUT", &format!("/pomelopath/instances/{id}"), &headers, body.as_bytes())
     }
 
-    /// Sends heartbeats as often as the settings say, until the server has ended.
+    /// Sends heartbeats as often as the settings say, until the server has said that it is gone.
     pub fn beat(self: &Arc<Self>, to: SocketAddr) {
         let server = Arc::clone(self);
         thread::spawn(move || {
-            while !server.has_ended.load(SeqCst) {
+            while !server.has_deregistered.load(SeqCst) {
                 server.send_heartbeat(to);
                 thread::sleep(Duration::from_millis(1_500));
             }
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -20,6 +20,12 @@
     /// Versions of deletions.
     deleted: BTreeMap<Name, u64>,
     version: u64,
+    /// Whether all calls are answered with 503.
+    is_down: bool,
+    /// Number of restores.
+    era: u64,
+    /// Rows and version of the copy from which the store is restored.
+    copy: (BTreeMap<Name, (String, u64)>, u64),
 }
 
 /// The store.
@@ -60,12 +66,34 @@
         self.changed.notify_all();
     }
 
+    /// Makes the copy from which the store is restored.
+    pub fn make_copy(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        state.copy = (state.rows.clone(), state.version);
+    }
+
+    /// Restores the store from its copy.
+    pub fn restore(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        (state.rows, state.version) = state.copy.clone();
+        state.deleted.clear();
+        state.era += 1;
+        self.changed.notify_all();
+    }
+
+    /// Makes the store answer 503 to all calls, or serve again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.lock().expect("no panic").is_down = is_down;
+        self.changed.notify_all();
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(call) = reader.message() {
             let (status, body) = self.handle(&call);
-            let headers = [("Content-Type", "application/json")];
+            let era = self.state.lock().expect("no panic").era.to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
             if http::answer(&mut reader.stream, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
@@ -78,6 +106,9 @@
         let params: BTreeMap<String, String> =
             query.split('&').filter_map(|p| p.split_once('=')).map(|(n, v)| (n.into(), decode(v))).collect();
         let param = |name: &str| params.get(name).cloned().unwrap_or_default();
+        if self.state.lock().expect("no panic").is_down {
+            return ("503 Service Unavailable", "{}".into());
+        }
         match path {
             "/pomelopath/rows-get" => self.get(&param("table"), &param("part"), &param("from"), &param("to")),
             "/pomelopath/rows-feed" => {
@@ -110,6 +141,12 @@
         let until = Instant::now() + wait;
         let mut state = self.state.lock().expect("no panic");
         loop {
+            if state.is_down {
+                return ("503 Service Unavailable", "{}".into());
+            }
+            if after > state.version {
+                return ("410 Gone", "{}".into());
+            }
             let newer = state.rows.iter().filter(|((t, ..), (_, version))| t == table && *version > after);
             let mut rows: Vec<(u64, String)> =
                 newer.map(|(name, (value, version))| (*version, row(name, value, *version))).collect();
