Ask for as many descriptors as a case needs

Cause: every case refused to run below 4,096 descriptors, which only the crowd needs. Change: 900 for a case, 3,000 for the crowd.

--- a/review/stand-2/crowd.rs
+++ b/review/stand-2/crowd.rs
@@ -8,7 +8,7 @@
 
 use crate::cases::{self, Attempts};
 use crate::http;
-use crate::world::{BROKEN, HELD, HOST, KEY, NOT_RUN, World, config, has_trouble};
+use crate::world::{BROKEN, HELD, HOST, KEY, NOT_RUN, World, config, has_trouble, require_descriptors};
 
 /// Limits of callers in the configuration: the first two in bytes.
 pub const LIMITS: &str =
@@ -32,6 +32,8 @@
 /// Time without growth of the daemon after which it has read what a group has sent, and the longest wait for that.
 const STEADY: Duration = Duration::from_millis(600);
 const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Descriptors of this process and of the daemon that the crowd needs.
+const MIN_DESCRIPTORS: u64 = 3_000;
 /// Threads that open the connections.
 const OPENERS: usize = 40;
 /// Time without trouble before the crowd comes, and after the last of it.
@@ -39,6 +41,7 @@
 const AFTER: Duration = Duration::from_secs(8);
 
 pub fn run(record: &str) {
+    require_descriptors(MIN_DESCRIPTORS);
     let mut world = World::new(record, &config(1, 10_000, LIMITS));
     cases::add_instances(&mut world, &["paraiso", "barva", "paraiso", "barva"], RUN);
     world.start();
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// Descriptors that any case needs.
+const MIN_DESCRIPTORS: u64 = 900;
+
+/// Ends the run unless this process may have `count` descriptors.
+pub fn require_descriptors(count: u64) {
+    if daemon::raise_descriptor_limit() < count {
+        eprintln!("the limit of descriptors is below {count}");
+        exit(NOT_RUN);
+    }
+}
+
 /// The deployment. Dropping it ends all processes.
 pub struct World {
     pub store: Arc<Store>,
@@ -57,10 +68,7 @@
 impl World {
     /// Starts the store and writes the first configuration.
     pub fn new(record: &str, config: &str) -> Self {
-        if daemon::raise_descriptor_limit() < 4_096 {
-            eprintln!("the limit of descriptors is below 4,096");
-            exit(NOT_RUN);
-        }
+        require_descriptors(MIN_DESCRIPTORS);
         let dir = std::env::temp_dir().join(format!("pomelo-review-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a writable folder");
         let store = Store::start();
