Log which shortage closes a caller's connection, and which requests it takes along

Change: E0710 ConnectionClosed with the shortage, the time without progress and the ids of the requests that were started and not answered; pomelo_connections_closed_total has a label for each shortage. Which connection is closed is as before. Tests of base, relay and platform pass.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -74,6 +74,7 @@
     707 RequestDeclined "The daemon beside a server did not give it a request.";
     708 AnswerCut "A caller's connection ended before its last answer was sent whole.";
     709 BytesDiscarded "Bytes came on a caller's connection after the daemon had closed it.";
+    710 ConnectionClosed "The daemon closed a caller's connection early.";
     720 FateAsked "Another daemon was asked what became of hand-offs without an answer.";
     721 FateProven "Hand-offs without an answer were proven not to have run.";
     722 HandoffGivenUp "Hand-offs that had not started were given up for their caller's daemon.";
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -23,6 +23,7 @@
 
 use crate::body::{Body, BufferError, MAX_BUFFERED_BYTES};
 use crate::body_memory::{ReservedMemory, buffer_in_memory};
+use crate::connection_limit::Shortage;
 use crate::digest::RelayedReport;
 use crate::exchange::OVERDUE_FACTOR;
 use crate::fate_questions::SentHandoff;
@@ -287,7 +288,7 @@
         let bytes = body.size_hint().upper().unwrap_or(0);
         let has_memory = bytes <= self.node.body_memory.free() as u64;
         if !has_memory {
-            self.node.connections.evict_stalled(Instant::now());
+            self.node.connections.evict(Shortage::Memory, Instant::now());
         }
         has_memory
     }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -24,6 +24,7 @@
 
 use crate::attempt::{AttemptInfo, AttemptOutcome, AttemptRequest, InFlight};
 use crate::body::Body;
+use crate::connection_limit::Shortage;
 use crate::handoff::{DeclineReason, Handoff, Repetition, RunError, RunTime};
 use crate::ingress::{Admitted, MIN_RETRY_AFTER, RequestRefusal};
 use crate::node::Node;
@@ -172,7 +173,7 @@
         };
         if reason == RetryReason::Connect && to == self.node.identity.addr {
             // The server beside this daemon had no room. An answer that its caller doesn't read may hold a slot.
-            self.node.connections.evict_stalled(Instant::now());
+            self.node.connections.evict(Shortage::Slots, Instant::now());
         }
         if !self.tried.contains(&to) {
             self.tried.push(to);
--- a/crates/relay/src/closing.rs
+++ b/crates/relay/src/closing.rs
@@ -75,7 +75,7 @@
     let reading = spawn_local(async move {
         tokio::select! {
             () = discard_input(stream, now + MAX_LINGER) => {}
-            () = open.evicted() => {}
+            _shortage = open.evicted() => {}
         }
     });
     if let Ok(Err(e)) = timeout_at((written_at + LINGER_WAIT).into(), reading).await {
--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -13,14 +13,29 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use derive_more::Display;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
-use tokio_util::sync::CancellationToken;
+use tokio::sync::SetOnce;
 
 use crate::delivery::Delivery;
 
 /// Time without progress of an answer after which its connection may be closed to make room.
 const STALLED_AFTER: Duration = Duration::from_secs(2);
 
+/// What a daemon has too little of, so that it closes a connection to make room.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Shortage {
+    /// Connections that callers may hold open.
+    #[display("connections")]
+    Connections,
+    /// Memory for bodies of requests and buffered answers.
+    #[display("memory")]
+    Memory,
+    /// Slots of the server beside the daemon.
+    #[display("slots")]
+    Slots,
+}
+
 /// What a connection holds at present, in the order in which connections are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -39,7 +54,8 @@
     /// Start of the phase.
     since: Cell<Instant>,
     delivery: Rc<Delivery>,
-    evicted: CancellationToken,
+    /// What the connection must be closed for, once it must be.
+    evicted: SetOnce<Shortage>,
 }
 
 impl Connection {
@@ -72,7 +88,7 @@
     /// Counts a new connection, and closes another one if there is no room. `None` if none may be closed: the new one
     /// must be.
     pub fn admit(self: &Rc<Self>, delivery: Rc<Delivery>, now: Instant) -> Option<OpenConnection> {
-        if self.open.borrow().len() >= self.max && !self.evict(Phase::Waiting, now) {
+        if self.open.borrow().len() >= self.max && !self.evict(Shortage::Connections, now) {
             return None;
         }
         let number = self.last_number.get() + 1;
@@ -81,28 +97,23 @@
             phase: Cell::new(Phase::Waiting),
             since: Cell::new(now),
             delivery,
-            evicted: CancellationToken::new(),
+            evicted: SetOnce::new(),
         });
         self.open.borrow_mut().insert(number, Rc::clone(&connection));
         Some(OpenConnection { limit: Rc::clone(self), number, connection })
     }
 
-    /// Closes the connection whose answer has been unread for the longest time, because memory is short; false if
-    /// there is none.
-    pub fn evict_stalled(&self, now: Instant) -> bool {
-        self.evict(Phase::Serving, now)
-    }
-
-    /// Closes the first connection in the order of eviction that is at least in the phase `from`.
-    fn evict(&self, from: Phase, now: Instant) -> bool {
+    /// Closes the first connection in the order of eviction that helps against `shortage`; false if there is none.
+    pub fn evict(&self, shortage: Shortage, now: Instant) -> bool {
+        let from = if shortage == Shortage::Connections { Phase::Waiting } else { Phase::Serving };
         let mut open = self.open.borrow_mut();
         let orders = open.iter().filter_map(|(number, c)| Some((c.eviction_order(now)?, *number)));
         let first = orders.filter(|((phase, _), _)| *phase >= from).min();
         let Some(connection) = first.and_then(|(_, number)| open.remove(&number)) else {
             return false;
         };
-        connection.evicted.cancel();
-        true
+        // A connection is evicted at most once: it has just been removed.
+        connection.evicted.set(shortage).is_ok()
     }
 }
 
@@ -121,9 +132,9 @@
         self.connection.since.set(now);
     }
 
-    /// Waits until the connection must be closed.
-    pub async fn evicted(&self) {
-        self.connection.evicted.cancelled().await;
+    /// Waits until the connection must be closed, and returns why.
+    pub async fn evicted(&self) -> Shortage {
+        *self.connection.evicted.wait().await
     }
 }
 
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -22,6 +22,7 @@
 use crate::attempts::Attempts;
 use crate::body::{Body, BufferError};
 use crate::body_memory::{ReservedMemory, buffer_in_memory};
+use crate::connection_limit::Shortage;
 use crate::gossip;
 use crate::node::Node;
 
@@ -207,7 +208,7 @@
         BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
         BufferError::NoMemory => {
             refund_token(node, customer.as_ref());
-            node.connections.evict_stalled(Instant::now());
+            node.connections.evict(Shortage::Memory, Instant::now());
             RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
         }
     })?;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -87,7 +87,7 @@
         Box::pin(async move {
             let (id, has_body) = (logged_id(&node, &req), req.method() != Method::HEAD);
             let req = req.map(|body| ReceivedBody::new(body, Rc::clone(&open)));
-            let rep = respond(&node, &pipeline, &is_ambiguous, req).await;
+            let rep = respond(&node, &pipeline, &is_ambiguous, &id, req).await;
             let (bytes, memory) = (rep.body().size_hint().exact(), rep.body().memory());
             delivery.begin(LastAnswer { id, status: rep.status().as_u16(), bytes }, has_body, memory);
             delivery.on_sent(move || open.set_phase(Phase::Waiting, Instant::now()));
@@ -119,12 +119,12 @@
                 Pin::new(&mut conn).graceful_shutdown();
             }
             () = wait_until_left(&socket, &pipeline) => break,
-            () = open.evicted() => {
-                node.metrics.connections_closed.with_label_values(&["no-room"]).inc();
+            shortage = open.evicted() => {
+                log_closed(&node, &pipeline, &delivery, &shortage.to_string());
                 return;
             }
             () = wait_until_unread(&delivery) => {
-                node.metrics.connections_closed.with_label_values(&["unread"]).inc();
+                log_closed(&node, &pipeline, &delivery, "unread");
                 return;
             }
         }
@@ -158,6 +158,15 @@
     );
 }
 
+/// Counts and logs a connection that the daemon closes early, with the requests that get no whole answer.
+fn log_closed(node: &Node, pipeline: &Pipeline, delivery: &Delivery, reason: &str) {
+    node.metrics.connections_closed.with_label_values(&[reason]).inc();
+    log_cut(node, delivery, None);
+    let stalled_ms = delivery.stalled_since().map_or(-1, |since| since.elapsed().as_millis() as i64);
+    let unanswered = pipeline.unanswered_ids().join(",");
+    event!(Info, ConnectionClosed, "reason={reason} stalled_ms={stalled_ms} unanswered=[{unanswered}]");
+}
+
 /// Waits until the caller has read nothing of its answer for [`UNREAD_TIMEOUT`].
 async fn wait_until_unread(delivery: &Delivery) {
     loop {
@@ -181,6 +190,7 @@
     node: &Node,
     pipeline: &Pipeline,
     is_ambiguous: &AtomicBool,
+    id: &str,
     req: Request<ReceivedBody<Incoming>>,
 ) -> Response<Body> {
     if asks_for_close(&req) {
@@ -192,7 +202,7 @@
         rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return rep;
     }
-    let mut rep = pipeline.respond(req).await;
+    let mut rep = pipeline.respond(id, req).await;
     if node.is_stopping() && !pipeline.has_started() {
         rep.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -72,8 +72,8 @@
     has_received: Cell<bool>,
     /// Notified when a request is started early.
     started: Notify,
-    /// Number of requests that hyper has read and that are not answered yet.
-    unanswered: Cell<usize>,
+    /// Id of the request that hyper has read and that is not answered yet, as shown in logs.
+    unanswered: RefCell<Option<Box<str>>>,
     /// Whether the answer to the request that hyper has read last may be streamed.
     current_may_stream: Cell<bool>,
     /// Whether the connection will close after the answer to the current request.
@@ -88,7 +88,7 @@
             queue: RefCell::default(),
             has_received: Cell::new(false),
             started: Notify::new(),
-            unanswered: Cell::new(0),
+            unanswered: RefCell::default(),
             current_may_stream: Cell::new(false),
             is_last: Cell::new(false),
         }
@@ -104,7 +104,7 @@
     /// `length` is the length of the body, if known.
     pub fn on_head(&self, head: &[u8], length: Option<u64>) {
         self.has_received.set(true);
-        let must_wait = self.unanswered.get() > 0 || !self.queue.borrow().is_empty();
+        let must_wait = self.unanswered.borrow().is_some() || !self.queue.borrow().is_empty();
         let has_room = self.queue.borrow().len() < EARLY_START_QUEUE_LIMIT;
         // A stopping daemon closes its connections, but would first have to answer every request that it has
         // started.
@@ -141,19 +141,30 @@
         self.has_received.get()
     }
 
+    /// Ids of the requests that have been started and are not answered yet, oldest first, as shown in logs.
+    pub fn unanswered_ids(&self) -> Vec<Box<str>> {
+        let mut ids = Vec::from_iter(self.unanswered.borrow().clone());
+        for queued in &*self.queue.borrow() {
+            if let QueuedState::Started(early) = &queued.state {
+                ids.push(early.logged_id());
+            }
+        }
+        ids
+    }
+
     /// Whether no request is being answered or has been started early.
     pub fn is_idle(&self) -> bool {
-        self.unanswered.get() == 0 && !self.has_started()
+        self.unanswered.borrow().is_none() && !self.has_started()
     }
 
     /// Answers a request that hyper has read: with the result of its early start if there is one, otherwise
-    /// by serving it now.
-    pub async fn respond<B>(&self, req: Request<B>) -> Response<Body>
+    /// by serving it now. `id` is the request's id, as shown in logs.
+    pub async fn respond<B>(&self, id: &str, req: Request<B>) -> Response<Body>
     where
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
         let queued = self.queue.borrow_mut().pop_front();
-        self.unanswered.set(self.unanswered.get() + 1);
+        self.unanswered.replace(Some(id.into()));
         self.current_may_stream.set(queued.as_ref().is_some_and(|queued| queued.may_stream));
         let rep = match queued.map(|queued| queued.state) {
             Some(QueuedState::Started(early)) if early.matches(&req, &self.node) => {
@@ -161,7 +172,7 @@
             }
             _ => ingress::serve_request(Rc::clone(&self.node), req).await,
         };
-        self.unanswered.set(self.unanswered.get() - 1);
+        self.unanswered.take();
         rep
     }
 
@@ -196,6 +207,10 @@
 }
 
 impl EarlyRequest {
+    fn logged_id(&self) -> Box<str> {
+        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-").into()
+    }
+
     fn matches<B>(&self, req: &Request<B>, node: &Node) -> bool {
         *req.method() == self.method
             && *req.uri() == self.uri
--- a/crates/relay/tests/connection_limit.rs
+++ b/crates/relay/tests/connection_limit.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use relay::connection_limit::{ConnectionLimit, OpenConnection, Phase};
+use relay::connection_limit::{ConnectionLimit, OpenConnection, Phase, Shortage};
 use relay::delivery::Delivery;
 
 /// Whether the connection has been told to close.
@@ -40,7 +40,7 @@
     third.set_phase(Phase::Serving, now);
     assert!(is_evicted(&receiving) && !is_evicted(&served));
     assert!(open(&limit, now).is_none());
-    assert!(!limit.evict_stalled(now + Duration::from_mins(1)));
+    assert!(!limit.evict(Shortage::Memory, now + Duration::from_mins(1)));
 }
 
 #[test]
