Close no connection of a slow caller for want of what it doesn't hold

Cause: whenever the server beside the daemon declined a request, for whatever reason, the daemon closed the connection whose answer had made no progress for 2 s, on the guess that it held a slot. It asked neither whether the connection held any of what was short nor what had been passed on behind. A shortage of memory, for a body or an answer, did the same, and so did one of connections. The four tests of short_of_room fail on the code before: the connection is closed after 203,704 bytes of the download. Change: what is new is refused; a connection is closed only if it holds some of what is short (a slot, memory, a connection) and its caller no longer waits: 2 s past all its deadlines. The exception is a new caller that reads nothing of its first answer for 5 s and has nothing started behind it, so that a crowd of such callers does not shut out all others. Only a server that is full counts as short of slots, no other decline.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -147,6 +147,8 @@
     ) -> ControlFlow<RequestResult, bool> {
         let to = info.to;
         let is_declined = matches!(outcome, AttemptOutcome::Failed(RunError::Declined { .. }));
+        let is_busy =
+            matches!(outcome, AttemptOutcome::Failed(RunError::Declined { reason: DeclineReason::Busy, .. }));
         let may_place_again = !is_proven(&outcome) || self.node.may_start_request(Instant::now());
         let has_run = self.uncertain.is_some() || self.fallback.is_some();
         self.may_have_run.set(!is_declined || still_running > 0 || has_run);
@@ -171,8 +173,8 @@
                 }
             }
         };
-        if reason == RetryReason::Connect && to == self.node.identity.addr {
-            // The server beside this daemon had no room. An answer that its caller doesn't read may hold a slot.
+        if is_busy && to == self.node.identity.addr {
+            // An answer that its caller doesn't read may hold a slot of the server beside this daemon.
             self.node.connections.evict(Shortage::Slots, Instant::now());
         }
         if !self.tried.contains(&to) {
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Instant;
 
@@ -57,11 +57,13 @@
         Self::Whole(WholeBody { full: Full::new(bytes), memory: Some(Rc::new(memory)) })
     }
 
-    /// Memory that is reserved for the body.
-    pub(crate) fn memory(&self) -> Option<Rc<ReservedMemory>> {
+    /// What the body takes of the daemon until it is sent.
+    pub(crate) fn resources(&self) -> BodyResources {
         match self {
-            Body::Whole(whole) => whole.memory.clone(),
-            Body::Streamed(_) => None,
+            Body::Whole(whole) => BodyResources { memory: whole.memory.clone(), source: Weak::new() },
+            Body::Streamed(streamed) => {
+                BodyResources { memory: None, source: Rc::downgrade(&streamed.source) }
+            }
         }
     }
 
@@ -72,6 +74,25 @@
     }
 }
 
+/// What a body takes of the daemon.
+#[derive(Debug, Default)]
+pub struct BodyResources {
+    memory: Option<Rc<ReservedMemory>>,
+    source: Weak<RefCell<BodySource>>,
+}
+
+impl BodyResources {
+    /// Whether memory is reserved for the body.
+    pub(crate) fn has_memory(&self) -> bool {
+        self.memory.is_some()
+    }
+
+    /// Whether the request that the body answers occupies a slot of the server beside the daemon.
+    pub(crate) fn has_slot(&self) -> bool {
+        self.source.upgrade().is_some_and(|source| source.borrow().run.is_some())
+    }
+}
+
 /// A body that is complete in memory.
 #[derive(Debug)]
 pub struct WholeBody {
--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -1,9 +1,10 @@
-//! Bounds the connections that callers hold open, so that no crowd uses up the descriptors or memory of a daemon.
+//! Bounds the connections that callers hold open, so that no crowd uses up the descriptors or memory of a daemon, and
+//! decides which connection is closed when something is short.
 //!
-//! At the limit a new connection takes the place of the one that can be closed with the least harm: one without a
-//! request, then one whose request has not arrived whole, then one whose caller doesn't read its answer. No request
-//! that was passed on is lost so, except for a caller that doesn't read. Such a connection is also closed when memory
-//! for bodies or slots of the server beside the daemon are short.
+//! A connection is closed only if it holds some of what is short, and only if that loses no request: a caller that reads
+//! slowly keeps its connection until its deadlines have passed, and what is new is refused instead. The exception is a
+//! new caller that doesn't read the answer to its first request, since a crowd of such callers would shut out all
+//! others.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -17,10 +18,11 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::sync::SetOnce;
 
+use crate::caller_requests::CallerRequests;
 use crate::delivery::Delivery;
 
-/// Time without progress of an answer after which its connection may be closed to make room.
-const STALLED_AFTER: Duration = Duration::from_secs(2);
+/// Time without progress of its first answer after which a new caller's connection may be closed to make room.
+const UNREAD_AFTER: Duration = Duration::from_secs(5);
 
 /// What a daemon has too little of, so that it closes a connection to make room.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -36,8 +38,8 @@
     Slots,
 }
 
-/// What a connection holds at present, in the order in which connections are closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// What a connection holds at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// No request, or part of a head.
     Waiting,
@@ -47,6 +49,19 @@
     Serving,
 }
 
+/// Connections that may be closed, in the order in which they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EvictionClass {
+    /// No request, or part of a head.
+    Idle,
+    /// The caller has not read its answer until its deadline and some time past it.
+    GivenUp,
+    /// A request whose body has not arrived whole, so that no server has it.
+    Unfinished,
+    /// A new caller doesn't read its first answer, and no other request of it has been started.
+    Unread,
+}
+
 /// State of one connection.
 #[derive(Debug)]
 struct Connection {
@@ -54,19 +69,42 @@
     /// Start of the phase.
     since: Cell<Instant>,
     delivery: Rc<Delivery>,
+    requests: Rc<CallerRequests>,
     /// What the connection must be closed for, once it must be.
     evicted: SetOnce<Shortage>,
 }
 
 impl Connection {
-    /// Sort key of the connections that may be closed; `None` if this one may not.
-    fn eviction_order(&self, now: Instant) -> Option<(Phase, Instant)> {
-        if self.phase.get() < Phase::Serving {
-            return Some((self.phase.get(), self.since.get()));
+    /// Sort key of the connections that may be closed because of `shortage`; `None` if this one may not.
+    fn eviction_order(&self, shortage: Shortage, now: Instant) -> Option<(EvictionClass, Instant)> {
+        if !self.holds(shortage) {
+            return None;
+        }
+        match self.phase.get() {
+            Phase::Waiting => Some((EvictionClass::Idle, self.since.get())),
+            Phase::Receiving => Some((EvictionClass::Unfinished, self.since.get())),
+            Phase::Serving => self.unread_order(now),
         }
+    }
+
+    /// Sort key of a connection whose caller doesn't read its answer.
+    fn unread_order(&self, now: Instant) -> Option<(EvictionClass, Instant)> {
         let stalled_since = self.delivery.stalled_since()?;
-        (now.saturating_duration_since(stalled_since) >= STALLED_AFTER)
-            .then_some((Phase::Serving, stalled_since))
+        if self.requests.has_given_up(now) {
+            return Some((EvictionClass::GivenUp, stalled_since));
+        }
+        let is_new = !self.requests.is_reused() && !self.requests.has_started_early();
+        let is_unread = now.saturating_duration_since(stalled_since) >= UNREAD_AFTER;
+        (is_new && is_unread).then_some((EvictionClass::Unread, stalled_since))
+    }
+
+    /// Whether closing the connection frees some of what is short.
+    fn holds(&self, shortage: Shortage) -> bool {
+        match shortage {
+            Shortage::Connections => true,
+            Shortage::Memory => self.delivery.holds_memory(),
+            Shortage::Slots => self.delivery.holds_slot(),
+        }
     }
 }
 
@@ -87,7 +125,12 @@
 
     /// Counts a new connection, and closes another one if there is no room. `None` if none may be closed: the new one
     /// must be.
-    pub fn admit(self: &Rc<Self>, delivery: Rc<Delivery>, now: Instant) -> Option<OpenConnection> {
+    pub fn admit(
+        self: &Rc<Self>,
+        delivery: Rc<Delivery>,
+        requests: Rc<CallerRequests>,
+        now: Instant,
+    ) -> Option<OpenConnection> {
         if self.open.borrow().len() >= self.max && !self.evict(Shortage::Connections, now) {
             return None;
         }
@@ -97,18 +140,18 @@
             phase: Cell::new(Phase::Waiting),
             since: Cell::new(now),
             delivery,
+            requests,
             evicted: SetOnce::new(),
         });
         self.open.borrow_mut().insert(number, Rc::clone(&connection));
         Some(OpenConnection { limit: Rc::clone(self), number, connection })
     }
 
-    /// Closes the first connection in the order of eviction that helps against `shortage`; false if there is none.
+    /// Closes the first connection in the order of eviction that holds some of what is short; false if there is none.
     pub fn evict(&self, shortage: Shortage, now: Instant) -> bool {
-        let from = if shortage == Shortage::Connections { Phase::Waiting } else { Phase::Serving };
         let mut open = self.open.borrow_mut();
-        let orders = open.iter().filter_map(|(number, c)| Some((c.eviction_order(now)?, *number)));
-        let first = orders.filter(|((phase, _), _)| *phase >= from).min();
+        let orders = open.iter().filter_map(|(number, c)| Some((c.eviction_order(shortage, now)?, *number)));
+        let first = orders.min();
         let Some(connection) = first.and_then(|(_, number)| open.remove(&number)) else {
             return false;
         };
@@ -183,3 +226,7 @@
         self.body.size_hint()
     }
 }
+
+#[cfg(test)]
+#[path = "connection_limit_tests.rs"]
+mod connection_limit_tests;
--- a/crates/relay/src/delivery.rs
+++ b/crates/relay/src/delivery.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::body_memory::ReservedMemory;
+use crate::body::BodyResources;
 
 /// What was missing of an answer when its connection ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -56,15 +56,15 @@
     /// Called once the last answer has been sent.
     #[debug(skip)]
     on_sent: RefCell<Option<Box<dyn FnOnce()>>>,
-    /// Memory of the last answer, until it has been sent.
-    memory: RefCell<Option<Rc<ReservedMemory>>>,
+    /// What the body of the last answer takes of the daemon, until it has been sent.
+    resources: RefCell<BodyResources>,
 }
 
 impl Delivery {
-    /// Records the beginning of an answer, which takes `memory`. `has_body` is false for the answer to a HEAD
-    /// request.
-    pub fn begin(&self, answer: LastAnswer, has_body: bool, memory: Option<Rc<ReservedMemory>>) {
-        self.memory.replace(memory);
+    /// Records the beginning of an answer, whose body takes `resources`. `has_body` is false for the answer to a
+    /// HEAD request.
+    pub fn begin(&self, answer: LastAnswer, has_body: bool, resources: BodyResources) {
+        self.resources.replace(resources);
         self.is_body_whole.set(!has_body || answer.bytes == Some(0));
         self.last_answer.replace(Some(answer));
         self.bytes_written.set(0);
@@ -86,6 +86,11 @@
         self.last_answer.borrow().is_none() || self.missing_part().is_none()
     }
 
+    /// Whether an answer has been written to the socket, and nothing is missing of it.
+    pub(crate) fn has_sent(&self) -> bool {
+        self.last_answer.borrow().is_some() && self.is_sent()
+    }
+
     /// What is missing of the last answer, if anything.
     fn missing_part(&self) -> Option<MissingPart> {
         if !self.is_body_whole.get() {
@@ -105,6 +110,16 @@
         self.stalled_since.get()
     }
 
+    /// Whether memory is reserved for the last answer.
+    pub(crate) fn holds_memory(&self) -> bool {
+        self.resources.borrow().has_memory()
+    }
+
+    /// Whether the request of the last answer occupies a slot of the server beside the daemon.
+    pub(crate) fn holds_slot(&self) -> bool {
+        self.resources.borrow().has_slot()
+    }
+
     /// Bytes written to the socket since the last answer began, head included.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written.get()
@@ -114,7 +129,7 @@
         self.has_unsent.set(false);
         self.stalled_since.set(None);
         if self.is_body_whole.get() {
-            self.memory.take();
+            self.resources.take();
             if let Some(done) = self.on_sent.take() {
                 done();
             }
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -22,6 +22,7 @@
 use crate::attempts::Attempts;
 use crate::body::{Body, BufferError};
 use crate::body_memory::{ReservedMemory, buffer_in_memory};
+use crate::caller_requests::CallerRequests;
 use crate::connection_limit::Shortage;
 use crate::gossip;
 use crate::node::Node;
@@ -82,18 +83,19 @@
     pub(crate) _body_memory: ReservedMemory,
 }
 
-/// Serves one request of a caller.
-pub async fn serve_request<B>(node: Rc<Node>, req: Request<B>) -> Response<Body>
+/// Serves one request of a caller, on whose connection there have been `requests`.
+pub async fn serve_request<B>(node: Rc<Node>, requests: Rc<CallerRequests>, req: Request<B>) -> Response<Body>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
     let _count = node.track_request();
     node.metrics.requests.inc();
     let started = Instant::now();
+    requests.wait_until(started);
     let id = req.headers().get(&node.header_names.request_id).cloned();
     let logged_id = id.as_ref().and_then(|v| v.to_str().ok()).unwrap_or("-").to_owned();
     let mut guard = DisconnectGuard { node: &node, id: &logged_id, started, is_answered: false };
-    let rep = match try_serve(&node, &logged_id, req).await {
+    let rep = match try_serve(&node, &requests, &logged_id, req).await {
         Ok(rep) => rep,
         Err(refused) => refuse(&node, &logged_id, started, &refused, id),
     };
@@ -156,11 +158,16 @@
     Response::from_parts(parts, Body::whole(""))
 }
 
-async fn try_serve<B>(node: &Rc<Node>, id: &str, req: Request<B>) -> Result<Response<Body>, RequestRefusal>
+async fn try_serve<B>(
+    node: &Rc<Node>,
+    requests: &CallerRequests,
+    id: &str,
+    req: Request<B>,
+) -> Result<Response<Body>, RequestRefusal>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
-    let admitted = admit(node, req).await?;
+    let admitted = admit(node, requests, req).await?;
     let may_have_run = Cell::new(false);
     let attempts = Attempts::new(node, id, &admitted, &may_have_run);
     let result = tokio::select! {
@@ -180,7 +187,11 @@
 }
 
 /// Finds the route, authenticates the customer, takes a token and reads the body.
-async fn admit<B>(node: &Rc<Node>, req: Request<B>) -> Result<Admitted, RequestRefusal>
+async fn admit<B>(
+    node: &Rc<Node>,
+    requests: &CallerRequests,
+    req: Request<B>,
+) -> Result<Admitted, RequestRefusal>
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
@@ -198,6 +209,7 @@
         return Err(RequestRefusal { customer, ..Refusal::NoRegion.into() });
     }
     let deadline = now + request_timeout(node, &head.headers, &route)?;
+    requests.wait_until(deadline);
     if let Some(customer) = &customer {
         take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod attempts;
 pub mod body;
 pub mod body_memory;
+pub mod caller_requests;
 pub mod clock;
 mod closing;
 mod config_exchange;
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
+use crate::caller_requests::CallerRequests;
 use crate::closing::{close_lingering, wait_until_closable, wait_until_left};
 use crate::connection_limit::{Phase, ReceivedBody};
 use crate::delivery::{Delivery, LastAnswer, TrackedBody, TrackedStream};
@@ -65,8 +66,9 @@
 }
 
 async fn serve_connection(node: Rc<Node>, stream: TcpStream, closing: CancellationToken) {
-    let delivery = Rc::new(Delivery::default());
-    let Some(open) = node.connections.admit(Rc::clone(&delivery), Instant::now()) else {
+    let (delivery, requests) = (Rc::new(Delivery::default()), Rc::new(CallerRequests::default()));
+    let admitted = node.connections.admit(Rc::clone(&delivery), Rc::clone(&requests), Instant::now());
+    let Some(open) = admitted else {
         node.metrics.connections_closed.with_label_values(&["no-room"]).inc();
         return;
     };
@@ -79,7 +81,7 @@
         .auto_date_header(false)
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
-    let pipeline = Rc::new(Pipeline::new(Rc::clone(&node)));
+    let pipeline = Rc::new(Pipeline::new(Rc::clone(&node), Rc::clone(&requests)));
     let service = service_fn(|req: Request<Incoming>| {
         let (node, pipeline, is_ambiguous) =
             (Rc::clone(&node), Rc::clone(&pipeline), Arc::clone(&is_ambiguous));
@@ -88,14 +90,20 @@
             let (id, has_body) = (logged_id(&node, &req), req.method() != Method::HEAD);
             let req = req.map(|body| ReceivedBody::new(body, Rc::clone(&open)));
             let rep = respond(&node, &pipeline, &is_ambiguous, &id, req).await;
-            let (bytes, memory) = (rep.body().size_hint().exact(), rep.body().memory());
-            delivery.begin(LastAnswer { id, status: rep.status().as_u16(), bytes }, has_body, memory);
+            let bytes = rep.body().size_hint().exact();
+            let answer = LastAnswer { id, status: rep.status().as_u16(), bytes };
+            delivery.begin(answer, has_body, rep.body().resources());
             delivery.on_sent(move || open.set_phase(Phase::Waiting, Instant::now()));
             Ok::<_, Infallible>(rep.map(|body| TrackedBody::new(body, delivery)))
         })
     });
-    let head_pipeline = Rc::clone(&pipeline);
-    let on_head = Box::new(move |head: &[u8], length| head_pipeline.on_head(head, length));
+    let (head_pipeline, head_delivery) = (Rc::clone(&pipeline), Rc::clone(&delivery));
+    let on_head = Box::new(move |head: &[u8], length| {
+        if head_pipeline.is_idle() && head_delivery.has_sent() {
+            requests.record_reuse();
+        }
+        head_pipeline.on_head(head, length);
+    });
     let stream = SharedStream::new(stream);
     let socket = stream.clone();
     let stream = ObservedStream::new(stream, Arc::clone(&is_ambiguous), on_head);
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::Body;
+use crate::caller_requests::{CallerRequests, StartedEarly};
 use crate::ingress;
 use crate::node::Node;
 
@@ -55,6 +56,7 @@
     uri: Uri,
     id: Option<HeaderValue>,
     task: JoinHandle<Response<Body>>,
+    _started: StartedEarly,
 }
 
 impl Drop for EarlyRequest {
@@ -67,6 +69,7 @@
 #[derive(Debug)]
 pub struct Pipeline {
     node: Rc<Node>,
+    requests: Rc<CallerRequests>,
     queue: RefCell<VecDeque<QueuedRequest>>,
     /// Whether any request has arrived on the connection.
     has_received: Cell<bool>,
@@ -81,10 +84,11 @@
 }
 
 impl Pipeline {
-    /// Creates the pipeline of a new connection.
-    pub fn new(node: Rc<Node>) -> Self {
+    /// Creates the pipeline of a new connection with these requests.
+    pub fn new(node: Rc<Node>, requests: Rc<CallerRequests>) -> Self {
         Self {
             node,
+            requests,
             queue: RefCell::default(),
             has_received: Cell::new(false),
             started: Notify::new(),
@@ -168,9 +172,9 @@
         self.current_may_stream.set(queued.as_ref().is_some_and(|queued| queued.may_stream));
         let rep = match queued.map(|queued| queued.state) {
             Some(QueuedState::Started(early)) if early.matches(&req, &self.node) => {
-                early.finish(&self.node, req).await
+                early.finish(&self.node, &self.requests, req).await
             }
-            _ => ingress::serve_request(Rc::clone(&self.node), req).await,
+            _ => ingress::serve_request(Rc::clone(&self.node), Rc::clone(&self.requests), req).await,
         };
         self.unanswered.take();
         rep
@@ -183,9 +187,10 @@
         let (method, uri) = (parts.method.clone(), parts.uri.clone());
         let id = parts.headers.get(&self.node.header_names.request_id).cloned();
         let req = Request::from_parts(parts, Empty::<Bytes>::new());
-        let task = tokio::task::spawn_local(ingress::serve_request(Rc::clone(&self.node), req));
+        let serving = ingress::serve_request(Rc::clone(&self.node), Rc::clone(&self.requests), req);
+        let task = tokio::task::spawn_local(serving);
         self.started.notify_one();
-        Some(EarlyRequest { method, uri, id, task })
+        Some(EarlyRequest { method, uri, id, task, _started: self.requests.start_early() })
     }
 
     fn is_repeatable(&self, parts: &Parts) -> bool {
@@ -217,7 +222,12 @@
             && req.headers().get(&node.header_names.request_id) == self.id.as_ref()
     }
 
-    async fn finish<B>(mut self, node: &Rc<Node>, req: Request<B>) -> Response<Body>
+    async fn finish<B>(
+        mut self,
+        node: &Rc<Node>,
+        requests: &Rc<CallerRequests>,
+        req: Request<B>,
+    ) -> Response<Body>
     where
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
@@ -227,7 +237,7 @@
                 log::error!(
                     "task of a request that was started early failed, so the request is served again: {e}"
                 );
-                ingress::serve_request(Rc::clone(node), req).await
+                ingress::serve_request(Rc::clone(node), Rc::clone(requests), req).await
             }
         }
     }
--- a/crates/relay/tests/connection_limit.rs
+++ b/crates/relay/tests/connection_limit.rs
@@ -13,7 +13,7 @@
 }
 
 fn open(limit: &Rc<ConnectionLimit>, now: Instant) -> Option<OpenConnection> {
-    limit.admit(Rc::new(Delivery::default()), now)
+    limit.admit(Rc::new(Delivery::default()), Rc::default(), now)
 }
 
 // Guards against a crowd of silent connections that keeps new callers out.
