Disconnect no caller for unread answers before its deadline

Callers would see: a download and the look-ups behind it cut after a pause of 10 s, although the deadline is 20 s or more on some deployments (found while looking for other paths that close a caller's connection; no user has reported it). Cause: an answer without progress for 10 s ended its connection, whatever its caller's deadline and whatever was passed on behind.

--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -29,7 +29,7 @@
 
 /// Smallest head size limit that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// Time after which a caller that reads nothing of its answer is disconnected.
+/// Time after which a caller that reads nothing of its answer is disconnected, unless it still waits for an answer.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay after accepting a connection failed, e.g. because no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -98,9 +98,10 @@
         })
     });
     let (head_pipeline, head_delivery) = (Rc::clone(&pipeline), Rc::clone(&delivery));
+    let head_requests = Rc::clone(&requests);
     let on_head = Box::new(move |head: &[u8], length| {
         if head_pipeline.is_idle() && head_delivery.has_sent() {
-            requests.record_reuse();
+            head_requests.record_reuse();
         }
         head_pipeline.on_head(head, length);
     });
@@ -131,7 +132,7 @@
                 log_closed(&node, &pipeline, &delivery, &shortage.to_string());
                 return;
             }
-            () = wait_until_unread(&delivery) => {
+            () = wait_until_unread(&delivery, &requests) => {
                 log_closed(&node, &pipeline, &delivery, "unread");
                 return;
             }
@@ -175,11 +176,12 @@
     event!(Info, ConnectionClosed, "reason={reason} stalled_ms={stalled_ms} unanswered=[{unanswered}]");
 }
 
-/// Waits until the caller has read nothing of its answer for [`UNREAD_TIMEOUT`].
-async fn wait_until_unread(delivery: &Delivery) {
+/// Waits until the caller has read nothing of its answer for [`UNREAD_TIMEOUT`] and no longer waits for any answer.
+async fn wait_until_unread(delivery: &Delivery, requests: &CallerRequests) {
     loop {
         let now = Instant::now();
-        let ends_at = delivery.stalled_since().unwrap_or(now) + UNREAD_TIMEOUT;
+        let unread_at = delivery.stalled_since().unwrap_or(now) + UNREAD_TIMEOUT;
+        let ends_at = requests.gives_up_at().map_or(unread_at, |gives_up_at| gives_up_at.max(unread_at));
         if ends_at <= now {
             return;
         }
--- a/crates/relay/tests/short_of_room.rs
+++ b/crates/relay/tests/short_of_room.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Act, BODY_MEMORY_BYTES, Daemon, KEY, connect_with_small_segments, eventually, fleet, large_body,
+    Act, BODY_MEMORY_BYTES, Daemon, KEY, conf, connect_with_small_segments, eventually, fleet, large_body,
     long_timeout_conf, on_one_thread, parse_answers, read_slowly, request, status,
 };
 use tokio::io::AsyncWriteExt;
@@ -15,6 +15,8 @@
 
 /// Pause of a slow caller, which is shorter than its deadline.
 const PAUSE: Duration = Duration::from_millis(6_500);
+/// Pause after which an answer counts as unread, unless its caller still waits for it.
+const LONG_PAUSE: Duration = Duration::from_secs(12);
 /// Bytes that a slow caller reads at a time after its pause.
 const BYTES_PER_READ: usize = 64 * 1024;
 /// Time that the server works on a download, in milliseconds.
@@ -186,3 +188,30 @@
         }
     });
 }
+
+// Guards against requests that are lost because their caller reads nothing for a while, although its deadline is later.
+#[test]
+fn a_caller_that_pauses_for_long_within_its_deadline_keeps_its_connection() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], long_timeout_conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut slow = start_download(daemon, "slow", DOWNLOAD_BYTES).await;
+        send_behind(&mut slow, daemon, "slow").await;
+        sleep(LONG_PAUSE).await;
+        read_answers(&mut slow, &[DOWNLOAD_BYTES, SMALL_BYTES, SMALL_BYTES]).await;
+    });
+}
+
+// Guards against callers that hold their connections and the answers on them for ever.
+#[test]
+fn a_caller_that_reads_nothing_past_its_deadline_is_disconnected() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut slow = start_download(daemon, "slow", DOWNLOAD_BYTES).await;
+        slow.readable().await.expect("the beginning of the download");
+        sleep(LONG_PAUSE).await;
+        let (rep, end) = read_slowly(&mut slow, BYTES_PER_READ, Duration::ZERO, |_| false).await;
+        assert!(rep.len() < DOWNLOAD_BYTES, "{} bytes, {end}", rep.len());
+    });
+}
