Let the shares of memory add up to less than the instance has

Cause: bodies could take 0.75 of the memory and connections 0.25, which leaves nothing; a connection took more than the 32 KB it was counted at (a head that has not ended twice, one copy in a buffer that doubled; large queue entries for requests sent ahead).

--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -69,6 +69,7 @@
                 }
                 State::Head(head) => {
                     let before = head.len();
+                    head.reserve_exact(bytes.len());
                     head.extend_from_slice(bytes);
                     let from = before.saturating_sub(HEAD_END.len() - 1);
                     let end = head[from..].windows(HEAD_END.len()).position(|w| w == HEAD_END);
--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -24,6 +24,17 @@
 /// Time without progress of its first answer after which a new caller's connection may be closed to make room.
 const UNREAD_AFTER: Duration = Duration::from_secs(5);
 
+/// Heads of requests of the largest size that a connection may hold: one that is being parsed, its copy for the
+/// inspection, and the queue of requests that were sent ahead, whose entries are smaller than the requests.
+const HEADS_PER_CONNECTION: usize = 3;
+/// Memory in bytes that a connection takes beside heads and bodies.
+const CONNECTION_STATE_BYTES: usize = 16_000;
+
+/// Memory in bytes that a connection may take apart from bodies.
+pub(crate) fn connection_bytes(max_head_bytes: usize) -> usize {
+    HEADS_PER_CONNECTION * max_head_bytes + CONNECTION_STATE_BYTES
+}
+
 /// What a daemon has too little of, so that it closes a connection to make room.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Shortage {
@@ -111,8 +122,8 @@
 /// All open connections at one or several addresses.
 #[derive(Debug)]
 pub struct ConnectionLimit {
-    max: usize,
-    /// By number, in the order of their opening. At most `max`.
+    max: Cell<usize>,
+    /// By number, in the order of their opening. At most `max`, unless that has just been lowered.
     open: RefCell<BTreeMap<u64, Rc<Connection>>>,
     last_number: Cell<u64>,
 }
@@ -120,7 +131,12 @@
 impl ConnectionLimit {
     /// Allows `max` connections at a time.
     pub fn new(max: usize) -> Rc<Self> {
-        Rc::new(Self { max, open: RefCell::default(), last_number: Cell::new(0) })
+        Rc::new(Self { max: Cell::new(max), open: RefCell::default(), last_number: Cell::new(0) })
+    }
+
+    /// Allows `max` connections from now on.
+    pub(crate) fn set_max(&self, max: usize) {
+        self.max.set(max);
     }
 
     /// Counts a new connection, and closes another one if there is no room. `None` if none may be closed: the new one
@@ -131,7 +147,7 @@
         requests: Rc<CallerRequests>,
         now: Instant,
     ) -> Option<OpenConnection> {
-        if self.open.borrow().len() >= self.max && !self.evict(Shortage::Connections, now) {
+        if self.open.borrow().len() >= self.max.get() && !self.evict(Shortage::Connections, now) {
             return None;
         }
         let number = self.last_number.get() + 1;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -9,7 +9,7 @@
 
 use base::{CustomerId, DaemonId, Place, ServiceId, Version, event};
 use bytes::Bytes;
-use conf::{KeyHasher, Snapshot};
+use conf::{CallerLimits, KeyHasher, Snapshot};
 use derive_more::Debug;
 use limit::{LocalBuckets, QuotaTolerance};
 use rand::Rng;
@@ -22,7 +22,7 @@
 use crate::clock::BootTime;
 use crate::config_news::ConfigNews;
 use crate::config_refresh::FetchedConfig;
-use crate::connection_limit::ConnectionLimit;
+use crate::connection_limit::{self, ConnectionLimit};
 use crate::datagram::{Hello, Incarnation, PeerInfo, Status};
 use crate::departures::DepartureLog;
 use crate::digest::{Digest, RelayedReport};
@@ -76,10 +76,20 @@
     pub rate_tolerance: QuotaTolerance,
     /// Memory in bytes that bodies of requests and buffered answers may take at a time.
     pub body_memory: usize,
-    /// Connections that callers may hold open at a time.
+    /// Memory in bytes that callers' connections may take at a time, apart from bodies.
+    pub connection_memory: usize,
+    /// Connections that callers may hold open at a time, by the descriptors of the instance.
     pub max_caller_connections: usize,
 }
 
+impl Bounds {
+    /// Connections that callers may hold open while heads of requests have at most `max_head_bytes` bytes.
+    fn caller_connections(&self, max_head_bytes: usize) -> usize {
+        let by_memory = self.connection_memory / connection_limit::connection_bytes(max_head_bytes);
+        by_memory.clamp(1, self.max_caller_connections.max(1))
+    }
+}
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct Node {
@@ -191,7 +201,9 @@
             evacuations: RefCell::default(),
             operator_state_changed: Notify::new(),
             body_memory: BodyMemory::new(bounds.body_memory),
-            connections: ConnectionLimit::new(bounds.max_caller_connections),
+            connections: ConnectionLimit::new(
+                bounds.caller_connections(CallerLimits::default().max_head_bytes),
+            ),
             token_buckets: RefCell::new(LocalBuckets::new(bounds.rate_tolerance)),
             response_sizes: RefCell::default(),
             streamed_routes: RefCell::default(),
@@ -294,6 +306,7 @@
                 log::debug!("customer={} rate={} burst={}", customer.name, customer.rate, customer.burst);
             }
             self.local_server.set_cold_rates(&snapshot);
+            self.connections.set_max(self.bounds.caller_connections(snapshot.limits.max_head_bytes));
             self.raw_conf.replace(raw);
             self.snapshot.send_replace(Some(Arc::new(snapshot)));
             self.status_changed.notify_one();
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -46,7 +46,7 @@
     /// The request is served when hyper reads it.
     Unstarted,
     /// The request has been started early.
-    Started(EarlyRequest),
+    Started(Box<EarlyRequest>),
 }
 
 /// A request that was started before hyper has read it. Dropping it cancels the request.
@@ -180,7 +180,7 @@
         rep
     }
 
-    fn start_early(&self, parts: Parts) -> Option<EarlyRequest> {
+    fn start_early(&self, parts: Parts) -> Option<Box<EarlyRequest>> {
         if !self.is_repeatable(&parts) {
             return None;
         }
@@ -190,7 +190,7 @@
         let serving = ingress::serve_request(Rc::clone(&self.node), Rc::clone(&self.requests), req);
         let task = tokio::task::spawn_local(serving);
         self.started.notify_one();
-        Some(EarlyRequest { method, uri, id, task, _started: self.requests.start_early() })
+        Some(Box::new(EarlyRequest { method, uri, id, task, _started: self.requests.start_early() }))
     }
 
     fn is_repeatable(&self, parts: &Parts) -> bool {
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -466,6 +466,7 @@
         grace_period: Duration::from_secs(6),
         rate_tolerance: QuotaTolerance { window: Duration::from_secs(5), overage: 0.1, slack_tokens: 1.0 },
         body_memory: BODY_MEMORY_BYTES,
+        connection_memory: usize::MAX,
         max_caller_connections: usize::MAX,
     };
     let hasher = KeyHasher::new(b"test");
