Let new callers that read nothing make room also when requests behind have started

Callers would see: refusals for the length of the route's timeout while a crowd of new callers sends look-ups ahead and reads nothing. Cause: kept every connection with a request started behind an unread answer until its deadline, also those of callers that have never read an answer; 120 of them held all slots and connections for 30 s. A connection that has been used again (a kept one, as the rule on lost requests says) is not closed.

--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -71,6 +71,8 @@
     Unfinished,
     /// A new caller doesn't read its first answer, and no other request of it has been started.
     Unread,
+    /// A new caller doesn't read its first answer, and requests behind it have been started.
+    UnreadPipeline,
 }
 
 /// State of one connection.
@@ -104,9 +106,13 @@
         if self.requests.has_given_up(now) {
             return Some((EvictionClass::GivenUp, stalled_since));
         }
-        let is_new = !self.requests.is_reused() && !self.requests.has_started_early();
         let is_unread = now.saturating_duration_since(stalled_since) >= UNREAD_AFTER;
-        (is_new && is_unread).then_some((EvictionClass::Unread, stalled_since))
+        if self.requests.is_reused() || !is_unread {
+            return None;
+        }
+        let has_started = self.requests.has_started_early();
+        let class = if has_started { EvictionClass::UnreadPipeline } else { EvictionClass::Unread };
+        Some((class, stalled_since))
     }
 
     /// Whether closing the connection frees some of what is short.
