Judge route and key again once a slow body has arrived

Cause: route, key and regions were judged at the head's arrival only. Change: admit matches the request again after the body if another configuration is in force or the proof is too old for its key; its token is given back whenever it is refused while its body arrives (it has not run).

--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -186,7 +186,68 @@
     })
 }
 
-/// Finds the route, authenticates the customer, takes a token and reads the body.
+/// What the configuration says of a request.
+struct MatchedRequest {
+    conf: Arc<Snapshot>,
+    route: Arc<Route>,
+    customer: Option<CustomerId>,
+    /// Not empty.
+    regions: AllowedRegions,
+}
+
+/// Finds the route of a request and authenticates its customer, by the configuration now in force.
+async fn match_request(node: &Node, head: &Parts) -> Result<MatchedRequest, RequestRefusal> {
+    let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
+    let (conf, route) = find_route(node, conf, head)?;
+    let customer = authenticate(node, &conf, &route, &head.headers).await?;
+    let regions = conf.allowed_regions(Some(&route), customer.as_ref());
+    if regions.is_empty() {
+        return Err(RequestRefusal { customer, ..Refusal::NoRegion.into() });
+    }
+    Ok(MatchedRequest { conf, route, customer, regions })
+}
+
+/// Matches a request again if the configuration has changed, or its proof has become too old, while the body arrived.
+async fn match_after_upload(
+    node: &Node,
+    head: &Parts,
+    matched: MatchedRequest,
+) -> Result<MatchedRequest, RequestRefusal> {
+    let is_proven = matched.route.open || node.is_conf_fresh();
+    if is_proven && node.conf_version() == matched.conf.version {
+        return Ok(matched);
+    }
+    let again = match_request(node, head).await?;
+    if again.customer != matched.customer {
+        // The token was taken for another customer.
+        return Err(RequestRefusal::after(Refusal::KeyUnconfirmed, MIN_RETRY_AFTER));
+    }
+    Ok(again)
+}
+
+/// Reads the body of a request into memory, until `deadline` at the latest.
+async fn read_body<B>(
+    node: &Node,
+    body: B,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<(Bytes, ReservedMemory), RequestRefusal>
+where
+    B: HttpBody<Data = Bytes> + Unpin,
+{
+    let body = timeout_at(deadline.into(), buffer_in_memory(body, max_bytes, &node.body_memory)).await;
+    body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
+        BufferError::Broken => Refusal::BadRequest.into(),
+        BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
+        BufferError::NoMemory => {
+            node.connections.evict(Shortage::Memory, Instant::now());
+            RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
+        }
+    })
+}
+
+/// Finds the route, authenticates the customer, takes a token and reads the body. A request counts as sent once its
+/// last byte is, so route and key must be valid then too.
 async fn admit<B>(
     node: &Rc<Node>,
     requests: &CallerRequests,
@@ -201,35 +262,25 @@
     if !node.may_start_request(now) {
         return Err(stopping_refusal(node, now));
     }
-    let conf = node.conf().ok_or_else(|| RequestRefusal::after(Refusal::NotReady, MIN_RETRY_AFTER))?;
-    let (conf, route) = find_route(node, conf, &head)?;
-    let customer = authenticate(node, &conf, &route, &head.headers).await?;
-    let regions = conf.allowed_regions(Some(&route), customer.as_ref());
-    if regions.is_empty() {
-        return Err(RequestRefusal { customer, ..Refusal::NoRegion.into() });
-    }
-    let deadline = now + request_timeout(node, &head.headers, &route)?;
+    let matched = match_request(node, &head).await?;
+    let deadline = now + request_timeout(node, &head.headers, &matched.route)?;
     requests.wait_until(deadline);
+    let customer = matched.customer.clone();
     if let Some(customer) = &customer {
-        take_token(node, customer, now + ADMIT_WAIT.min(route.objective / 8)).await?;
+        take_token(node, customer, now + ADMIT_WAIT.min(matched.route.objective / 8)).await?;
     }
-    let max_bytes = conf.limits.max_body_bytes;
-    let body = timeout_at(deadline.into(), buffer_in_memory(body, max_bytes, &node.body_memory)).await;
-    let (body, body_memory) = body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
-        BufferError::Broken => Refusal::BadRequest.into(),
-        BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
-        BufferError::NoMemory => {
-            refund_token(node, customer.as_ref());
-            node.connections.evict(Shortage::Memory, Instant::now());
-            RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
+    let max_bytes = matched.conf.limits.max_body_bytes;
+    let arrived = async {
+        let body = read_body(node, body, max_bytes, deadline).await?;
+        let read_at = Instant::now();
+        if !node.may_start_request(read_at) {
+            // The body took so long that the request can't end before the daemon does.
+            return Err(stopping_refusal(node, read_at));
         }
-    })?;
-    let read_at = Instant::now();
-    if !node.may_start_request(read_at) {
-        // The body took so long that the request can't end before the daemon does.
-        refund_token(node, customer.as_ref());
-        return Err(stopping_refusal(node, read_at));
-    }
+        Ok((body, match_after_upload(node, &head, matched).await?))
+    };
+    let arrived = arrived.await.inspect_err(|_refused| refund_token(node, customer.as_ref()));
+    let ((body, body_memory), MatchedRequest { conf, route, customer, regions }) = arrived?;
     let customer_priority = customer.as_ref().and_then(|c| conf.customers.get(c)).and_then(|c| c.priority);
     let priority = customer_priority.unwrap_or(route.priority);
     let id_hash = base::rendezvous::stable_hash(request_id_bytes(node, &head.headers));
@@ -239,6 +290,7 @@
     sanitize_head(node, &mut head)?;
     Ok(Admitted {
         version: conf.version,
+        deadline: deadline.min(now + route.timeout),
         route,
         route_hash,
         service,
@@ -246,7 +298,6 @@
         regions,
         priority,
         objective_at,
-        deadline,
         head,
         body,
         _body_memory: body_memory,
