Send an order to no server that has refused it

Cause: when no untried server was left, those that had refused an order got it again; the copy bears the order's id, so it passed for the answer to the second attempt. Change: Attempts keeps the daemons whose servers have refused a request that must run at most once, and never chooses them again. Repeatable requests go there again as before.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -61,6 +61,9 @@
     hedged: Option<DaemonId>,
     /// Daemons that declined or failed the request, or are slow.
     tried: SmallVec<[DaemonId; 8]>,
+    /// Daemons whose servers have refused a request that must run at most once. They don't get it again: a copy of the
+    /// refusal would look like the answer to the second attempt, which may be running.
+    refused_by: SmallVec<[DaemonId; 4]>,
     /// Number of servers that the request may have reached.
     servers_reached: u32,
     /// Number of attempts that were declined.
@@ -92,6 +95,7 @@
             repeatable: admitted.route.is_repeatable(admitted.head.method.as_str()),
             hedged: None,
             tried: SmallVec::new(),
+            refused_by: SmallVec::new(),
             servers_reached: 0,
             declines: 0,
             suspect_declines: 0,
@@ -180,6 +184,9 @@
         if !self.tried.contains(&to) {
             self.tried.push(to);
         }
+        if reason == RetryReason::Shed && !self.repeatable {
+            self.refused_by.push(to);
+        }
         let is_hedge_running = still_running > 0 && self.hedged.is_none();
         ControlFlow::Continue(
             may_place_again && !is_hedge_running && self.try_spend_retry(reason, still_running),
@@ -334,6 +341,7 @@
                 self.allow_suspect = true;
                 self.tried.clear();
                 self.tried.extend(self.hedged);
+                self.tried.extend_from_slice(&self.refused_by);
                 continue;
             }
             if !self.tried.is_empty() || Instant::now() >= wait_until {
--- a/crates/relay/tests/repeated_answers.rs
+++ b/crates/relay/tests/repeated_answers.rs
@@ -137,3 +137,29 @@
         }
     });
 }
+
+const REFUSAL: &str = refusal!("ID");
+const REFUSAL_AND_ANSWER: &str = concat!(refusal!("ID"), answer!("ID"));
+
+// Guards against an order that runs although its caller is told that it did not, since a copy of a server's refusal is
+// taken for the answer to a second attempt at that server (second review, case 6).
+#[test]
+fn a_server_that_has_refused_an_order_does_not_get_it_again() {
+    on_one_thread(async {
+        let server = ScriptedServer::start(|n| if n == 0 { REFUSAL } else { REFUSAL_AND_ANSWER }).await;
+        let fleet = fleet_of(vec![Backend::at(server.addr)], conf).await;
+        let rep = fleet.daemons[0].post("/order/a", "r1").await;
+        assert_eq!((status(&rep), server.ran.borrow().len()), (503, 1), "{rep}");
+    });
+}
+
+// Guards against look-ups that are refused although a second attempt would be answered.
+#[test]
+fn a_server_that_has_refused_a_repeatable_request_gets_it_again() {
+    on_one_thread(async {
+        let server = ScriptedServer::start(|n| if n == 0 { REFUSAL } else { ANSWER }).await;
+        let fleet = fleet_of(vec![Backend::at(server.addr)], conf).await;
+        let rep = fleet.daemons[0].get("/stock/a", "r1").await;
+        assert_eq!((status(&rep), server.ran.borrow().len()), (200, 2), "{rep}");
+    });
+}
