Keep unread downloads from holding up other answers between two daemons

Cause: all answers between two daemons share one flow control window of 1 MiB, and each unread one takes up to 256 KB of it. Change: the window of answers has room for 64 unread ones, and each reserves its part of the memory for bodies; when that is short, requests on routes with such answers are refused as not run.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -32,7 +32,7 @@
     self, ALTERNATIVES_HEADER, DeclineReason, HANDOFF_HEADER, Handoff, REPORT_HEADER, RUN_ERROR_HEADER,
     RUN_TIME_HEADER, Repetition, RunError, RunTime, ServerReport,
 };
-use crate::links::{Connection, LinkError};
+use crate::links::{Connection, LinkError, STREAM_WINDOW_BYTES};
 use crate::node::Node;
 
 /// Time past the deadline in which an answer is still accepted. The daemon beside the server allows less, so
@@ -264,7 +264,9 @@
         }
         parts.version = hyper::Version::HTTP_11;
         if self.must_stream(&body) {
-            let rep = Response::from_parts(parts, Body::streamed(body, None, self.answer_until()));
+            let bytes = body.size_hint().upper().unwrap_or(0).min(u64::from(STREAM_WINDOW_BYTES));
+            let memory = self.node.body_memory.reserve(bytes as usize);
+            let rep = Response::from_parts(parts, Body::relayed(body, memory, self.answer_until()));
             return AttemptOutcome::Answered(Box::new(rep));
         }
         match self.buffer_answer(body).await {
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -62,15 +62,21 @@
         match self {
             Body::Whole(whole) => BodyResources { memory: whole.memory.clone(), source: Weak::new() },
             Body::Streamed(streamed) => {
-                BodyResources { memory: None, source: Rc::downgrade(&streamed.source) }
+                BodyResources { memory: streamed.memory.clone(), source: Rc::downgrade(&streamed.source) }
             }
         }
     }
 
-    /// Creates a body that is streamed until `until` at the latest. `run`, the request that it answers, ends
-    /// with the body.
-    pub(crate) fn streamed(incoming: Incoming, run: Option<RunningRequest>, until: Instant) -> Self {
-        Self::Streamed(Streamed::new(incoming, run, until))
+    /// Creates a body that is streamed from the server until `until` at the latest. `run`, the request that it
+    /// answers, ends with the body.
+    pub(crate) fn streamed(incoming: Incoming, run: RunningRequest, until: Instant) -> Self {
+        Self::Streamed(Streamed::new(incoming, Some(run), None, until))
+    }
+
+    /// Creates a body that is streamed from another daemon until `until` at the latest. `memory` is reserved for what
+    /// arrives before it is sent, and stays so until the body is sent or dropped.
+    pub(crate) fn relayed(incoming: Incoming, memory: Option<ReservedMemory>, until: Instant) -> Self {
+        Self::Streamed(Streamed::new(incoming, None, memory, until))
     }
 }
 
@@ -105,6 +111,8 @@
 #[derive(Debug)]
 pub struct Streamed {
     source: Rc<RefCell<BodySource>>,
+    /// Memory that is reserved for what arrives before it is sent, if it is counted.
+    memory: Option<Rc<ReservedMemory>>,
     /// Task that aborts the body at its deadline, even while nobody reads it.
     deadline_task: AbortHandle,
 }
@@ -122,14 +130,19 @@
 }
 
 impl Streamed {
-    fn new(incoming: Incoming, run: Option<RunningRequest>, until: Instant) -> Self {
+    fn new(
+        incoming: Incoming,
+        run: Option<RunningRequest>,
+        memory: Option<ReservedMemory>,
+        until: Instant,
+    ) -> Self {
         let source = Rc::new(RefCell::new(BodySource { incoming: Some(incoming), run, reader: None }));
         let overdue = Rc::clone(&source);
         let deadline_task = spawn_local(async move {
             sleep_until(until.into()).await;
             overdue.borrow_mut().abort_overdue();
         });
-        Self { source, deadline_task: deadline_task.abort_handle() }
+        Self { source, memory: memory.map(Rc::new), deadline_task: deadline_task.abort_handle() }
     }
 }
 
--- a/crates/relay/src/body_memory.rs
+++ b/crates/relay/src/body_memory.rs
@@ -24,6 +24,12 @@
         Rc::new(Self { free: Cell::new(bytes) })
     }
 
+    /// Reserves `bytes` bytes; `None` if they are not free.
+    pub(crate) fn reserve(self: &Rc<Self>, bytes: usize) -> Option<ReservedMemory> {
+        let mut reserved = ReservedMemory::none(self);
+        reserved.grow_to(bytes).then_some(reserved)
+    }
+
     /// Bytes that are free now.
     pub fn free(&self) -> usize {
         self.free.get()
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -124,7 +124,7 @@
         let is_small = body.size_hint().upper().is_none_or(|bytes| bytes <= STREAM_THRESHOLD_BYTES);
         if !is_small {
             run.conn = Some(conn);
-            return Ok(Response::from_parts(parts, Body::streamed(body, Some(run), until)));
+            return Ok(Response::from_parts(parts, Body::streamed(body, run, until)));
         }
         let buffered = timeout_at(until.into(), buffer_body(body, MAX_BUFFERED_BYTES)).await;
         let now = Instant::now();
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -25,6 +25,7 @@
 use crate::caller_requests::CallerRequests;
 use crate::connection_limit::Shortage;
 use crate::gossip;
+use crate::links::STREAM_WINDOW_BYTES;
 use crate::node::Node;
 
 /// Longest time for which a request waits for a recent proof, or for tokens, before it is refused.
@@ -227,6 +228,17 @@
     Ok(again)
 }
 
+/// Refuses a request whose answer will be too large to be buffered if there is no memory for the part of it that
+/// arrives before its caller reads on.
+fn check_answer_memory(node: &Node, route: &Route) -> Result<(), RequestRefusal> {
+    let has_memory = node.body_memory.free() >= STREAM_WINDOW_BYTES as usize;
+    if has_memory || !node.streamed_routes.borrow().contains(&route_hash(route)) {
+        return Ok(());
+    }
+    node.connections.evict(Shortage::Memory, Instant::now());
+    Err(RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER))
+}
+
 /// Reads the body of a request into memory, until `deadline` at the latest.
 async fn read_body<B>(
     node: &Node,
@@ -273,6 +285,7 @@
     }
     let max_bytes = matched.conf.limits.max_body_bytes;
     let arrived = async {
+        check_answer_memory(node, &matched.route)?;
         let body = read_body(node, body, max_bytes, deadline).await?;
         let read_at = Instant::now();
         if !node.may_start_request(read_at) {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -45,10 +45,15 @@
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which an unanswered ping ends the connection.
 const PING_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Flow control window of one request in bytes.
-const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
-/// Flow control window of one connection in bytes.
-const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
+/// Flow control window of one request or answer in bytes.
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+/// Flow control window of the requests on one connection in bytes. They are read as they come.
+const REQUESTS_WINDOW_BYTES: u32 = 1024 * 1024;
+/// Answers on one connection that their callers may leave unread without holding up the others. Each occupies a slot
+/// of the server at the other end.
+const MAX_UNREAD_ANSWERS: u32 = 64;
+/// Flow control window of the answers on one connection in bytes.
+const ANSWERS_WINDOW_BYTES: u32 = MAX_UNREAD_ANSWERS * STREAM_WINDOW_BYTES;
 /// Largest number of concurrent requests on one connection.
 const MAX_STREAMS_PER_CONNECTION: u32 = 1_000;
 /// Largest encoded configuration that is accepted from another daemon.
@@ -170,7 +175,7 @@
         builder
             .timer(TokioTimer::new())
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .initial_connection_window_size(ANSWERS_WINDOW_BYTES)
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT);
         let (sender, conn) = builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
@@ -230,7 +235,7 @@
         .timer(TokioTimer::new())
         .auto_date_header(false)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .initial_connection_window_size(REQUESTS_WINDOW_BYTES)
         .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT);
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -527,13 +527,24 @@
         self.heartbeat(2, 1, false);
     }
 
+    /// Applies a heartbeat of the server, which now has this many slots.
+    pub fn offer_slots(&self, sequence: u64, slots: u16) {
+        let heartbeat = self.new_heartbeat(1, sequence, false, Duration::ZERO);
+        self.node.local_server.apply_heartbeat(Heartbeat { slots, ..heartbeat }, Instant::now());
+    }
+
     fn heartbeat(&self, born: u64, sequence: u64, draining: bool) {
         self.cold_heartbeat(born, sequence, draining, Duration::ZERO);
     }
 
     /// Applies a heartbeat of the server's incarnation `born`, which is cold for `cold_for`.
     pub fn cold_heartbeat(&self, born: u64, sequence: u64, draining: bool, cold_for: Duration) {
-        let heartbeat = Heartbeat {
+        let heartbeat = self.new_heartbeat(born, sequence, draining, cold_for);
+        self.node.local_server.apply_heartbeat(heartbeat, Instant::now());
+    }
+
+    fn new_heartbeat(&self, born: u64, sequence: u64, draining: bool, cold_for: Duration) -> Heartbeat {
+        Heartbeat {
             id: self.server_id().into(),
             born,
             sequence,
@@ -541,8 +552,7 @@
             slots: 2,
             draining,
             cold_for,
-        };
-        self.node.local_server.apply_heartbeat(heartbeat, Instant::now());
+        }
     }
 
     /// The server leaves, and the departure is acknowledged.
--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Act, Daemon, Fleet, KEY, conf, connect_with_small_buffer, connect_with_small_segments, eventually, fleet,
-    large_body, long_objective_conf, on_one_thread, parse_answers, read_slowly,
+    Act, BODY_MEMORY_BYTES, Daemon, Fleet, KEY, conf, connect_with_small_buffer, connect_with_small_segments,
+    eventually, fleet, large_body, long_objective_conf, long_timeout_conf, on_one_thread, parse_answers,
+    read_slowly, status,
 };
 use conf::{KeyHasher, Snapshot};
 use rstest::rstest;
@@ -273,3 +274,55 @@
         assert!(seen.iter().all(|s| s.headers["x-request-id"] == "r1"), "{seen:?}");
     });
 }
+
+/// Flow control window of an answer between two daemons, in bytes.
+const STREAM_WINDOW_BYTES: usize = 256 * 1024;
+/// Downloads that take up more than the flow control window of a connection between two daemons.
+const UNREAD_DOWNLOADS: usize = 6;
+
+// Guards against answers that are held up between two daemons by the downloads of callers that read nothing.
+#[test]
+fn unread_downloads_do_not_hold_up_other_answers_of_the_same_daemon() {
+    on_one_thread(async {
+        let fleet = AnswerPath::StreamedRemote.fleet(long_timeout_conf).await;
+        fleet.daemons[1].offer_slots(2, 2 * UNREAD_DOWNLOADS as u16);
+        sleep(BUFFERS_FULL_AFTER).await;
+        let mut callers = Vec::new();
+        for n in 0..UNREAD_DOWNLOADS {
+            let mut caller = connect_with_small_segments(fleet.daemons[0].callers).await;
+            send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
+            caller.readable().await.expect("the beginning of the download");
+            callers.push(caller);
+        }
+        sleep(BUFFERS_FULL_AFTER).await;
+        fleet.daemons[1].backend.acts.replace(vec![Act::Answer]);
+        let rep = fleet.daemons[0].send_raw(&get("other", "1.1", "x-deadline-ms: 3000\r\n"), "whole").await;
+        assert_eq!(status(&rep), 200, "{rep}");
+    });
+}
+
+// Guards against unread downloads that take more memory than the daemon has for bodies and answers.
+#[test]
+fn a_download_is_refused_as_not_run_once_unread_ones_hold_the_memory() {
+    on_one_thread(async {
+        let fleet = AnswerPath::StreamedRemote.fleet(long_timeout_conf).await;
+        let unread = BODY_MEMORY_BYTES / STREAM_WINDOW_BYTES;
+        fleet.daemons[1].offer_slots(2, 2 * unread as u16);
+        sleep(BUFFERS_FULL_AFTER).await;
+        let mut callers = Vec::new();
+        for n in 0..unread {
+            let mut caller = connect_with_small_segments(fleet.daemons[0].callers).await;
+            send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
+            caller.readable().await.expect("the beginning of the download");
+            callers.push(caller);
+        }
+        let runs = fleet.runs();
+        let refused = fleet.daemons[0].send_raw(&get("further", "1.1", ""), "\r\n\r\n").await;
+        assert!(refused.contains("body-memory"), "{refused}");
+        assert_eq!((status(&refused), fleet.runs()), (503, runs));
+        fleet.daemons[1].backend.acts.replace(vec![Act::Answer]);
+        let small = fleet.daemons[0].get("/open/a", "small").await;
+        assert_eq!(status(&small), 200, "{small}");
+        assert_whole(&mut callers[0], &[AnswerPath::StreamedRemote.bytes()]).await;
+    });
+}
