Take back memory that announced bodies don't use

Cause: a body of stated length reserves its whole length before it is read, and nothing took that back from a body that did not come. Change: when memory is short, a caller's body without progress for 1 s holds only what has arrived; the rest takes memory again when it comes, or is refused as not run. Answers and bodies of hand-offs never give memory back.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -292,8 +292,8 @@
     /// Whether there is memory to buffer an answer of stated length. If there is none, the memory of an answer that its
     /// caller doesn't read is freed for the next one.
     fn has_memory_for(&self, body: &impl HttpBody) -> bool {
-        let bytes = body.size_hint().upper().unwrap_or(0);
-        let has_memory = bytes <= self.node.body_memory.free() as u64;
+        let bytes = usize::try_from(body.size_hint().upper().unwrap_or(0)).unwrap_or(usize::MAX);
+        let has_memory = self.node.body_memory.has_room(bytes);
         if !has_memory {
             self.node.connections.evict(Shortage::Memory, Instant::now());
         }
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -248,17 +248,18 @@
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
-    collect_body(body, limit, |_capacity| true).await
+    collect_body(body, limit, |_arrived, _capacity| true).await
 }
 
-/// Reads a whole body into memory. Asks `may_take` before it takes more memory, with the sum in bytes.
+/// Reads a whole body into memory. Asks `may_take` before it takes more memory, with the bytes that have arrived and
+/// the sum of memory in bytes.
 ///
 /// # Errors
 /// Fails if the body breaks off, is larger than `limit` bytes, or may not take the memory that it needs.
 pub(crate) async fn collect_body<B>(
     mut body: B,
     limit: usize,
-    mut may_take: impl FnMut(usize) -> bool,
+    mut may_take: impl FnMut(usize, usize) -> bool,
 ) -> Result<Bytes, BufferError>
 where
     B: HttpBody<Data = Bytes> + Unpin,
@@ -269,7 +270,7 @@
     if stated_bytes.is_some_and(|stated| stated > limit) {
         return Err(BufferError::TooLarge { limit });
     }
-    if !may_take(stated_bytes.unwrap_or(0)) {
+    if !may_take(0, stated_bytes.unwrap_or(0)) {
         return Err(BufferError::NoMemory);
     }
     let mut buffered = BytesMut::with_capacity(stated_bytes.unwrap_or(0));
@@ -280,7 +281,7 @@
             return Err(BufferError::TooLarge { limit });
         }
         buffered.reserve(data.len());
-        if !may_take(buffered.capacity()) {
+        if !may_take(buffered.len() + data.len(), buffered.capacity()) {
             return Err(BufferError::NoMemory);
         }
         buffered.extend_from_slice(&data);
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -21,7 +21,7 @@
 
 use crate::attempts::Attempts;
 use crate::body::{Body, BufferError};
-use crate::body_memory::{ReservedMemory, buffer_in_memory};
+use crate::body_memory::{ReservedMemory, buffer_upload};
 use crate::caller_requests::CallerRequests;
 use crate::connection_limit::Shortage;
 use crate::gossip;
@@ -231,7 +231,7 @@
 /// Refuses a request whose answer will be too large to be buffered if there is no memory for the part of it that
 /// arrives before its caller reads on.
 fn check_answer_memory(node: &Node, route: &Route) -> Result<(), RequestRefusal> {
-    let has_memory = node.body_memory.free() >= STREAM_WINDOW_BYTES as usize;
+    let has_memory = node.body_memory.has_room(STREAM_WINDOW_BYTES as usize);
     if has_memory || !node.streamed_routes.borrow().contains(&route_hash(route)) {
         return Ok(());
     }
@@ -249,7 +249,7 @@
 where
     B: HttpBody<Data = Bytes> + Unpin,
 {
-    let body = timeout_at(deadline.into(), buffer_in_memory(body, max_bytes, &node.body_memory)).await;
+    let body = timeout_at(deadline.into(), buffer_upload(body, max_bytes, &node.body_memory)).await;
     body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
         BufferError::Broken => Refusal::BadRequest.into(),
         BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
--- a/crates/relay/tests/large_bodies.rs
+++ b/crates/relay/tests/large_bodies.rs
@@ -17,6 +17,9 @@
 /// Size of a body, of which two fit into the memory of a daemon.
 const BODY_BYTES: usize = BODY_MEMORY_BYTES / 5 * 2;
 
+/// Pause after which an upload has stalled.
+const STALL: Duration = Duration::from_millis(1_200);
+
 async fn start_upload(daemon: &Daemon, id: &str) -> TcpStream {
     let mut caller = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
     let body = "x".repeat(BODY_BYTES);
@@ -89,3 +92,49 @@
         assert_eq!(memory.free(), 1_000);
     });
 }
+
+/// Announces a body of [`BODY_BYTES`] bytes and sends ten of them.
+async fn announce_upload(daemon: &Daemon, id: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
+    let req = request("POST", "/order/a", id, &"x".repeat(BODY_BYTES));
+    let (begun, _) = req.split_at(req.len() - BODY_BYTES + 10);
+    caller.write_all(begun.as_bytes()).await.expect("the daemon reads");
+    caller
+}
+
+// Guards against callers that announce bodies and don't send them, and so shut out all requests with a body (second
+// review, starve).
+#[test]
+fn bodies_that_do_not_arrive_hold_no_memory_that_others_need() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut silent = [announce_upload(daemon, "r1").await, announce_upload(daemon, "r2").await];
+        sleep(STALL).await;
+        let third = start_upload(daemon, "r3").await;
+        assert_eq!(finish_upload(third).await, 200);
+        // The rest of a body that pauses is taken if there is room again.
+        let rest = "x".repeat(BODY_BYTES - 10);
+        silent[0].write_all(rest.as_bytes()).await.expect("the daemon reads");
+        assert_eq!(status(&read_until(&mut silent[0], "\r\n\r\n").await), 200);
+    });
+}
+
+// Guards against a body whose memory has been given to others and which is taken all the same.
+#[test]
+fn a_body_that_pauses_is_refused_as_not_run_if_its_memory_is_gone() {
+    on_one_thread(async {
+        let fleet = fleet(&[&[Act::Answer]], conf).await;
+        let daemon = &fleet.daemons[0];
+        let mut silent = announce_upload(daemon, "r1").await;
+        sleep(STALL).await;
+        let others = [start_upload(daemon, "r2").await, start_upload(daemon, "r3").await];
+        sleep(Duration::from_millis(100)).await;
+        silent.write_all(&vec![b'x'; BODY_BYTES / 2]).await.expect("the daemon reads");
+        let refused = read_until(&mut silent, "\r\n\r\n").await;
+        assert_eq!((status(&refused), daemon.runs()), (503, 0), "{refused}");
+        for other in others {
+            assert_eq!(finish_upload(other).await, 200);
+        }
+    });
+}
