Count what requests behind an unread answer hold

Cause: the answer to a request that was started early waits for those in front and may hold a slot of the server meanwhile; its connection did not count as one that holds a slot. A second wave of such callers then had to be unread for 5 s more. Change: a connection holds what its early answers hold; a caller that has never used its connection again makes room after 3 s.

--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -22,7 +22,7 @@
 use crate::delivery::Delivery;
 
 /// Time without progress of its first answer after which a new caller's connection may be closed to make room.
-const UNREAD_AFTER: Duration = Duration::from_secs(5);
+const UNREAD_AFTER: Duration = Duration::from_secs(3);
 
 /// Heads of requests of the largest size that a connection may hold: one that is being parsed, its copy for the
 /// inspection, and the queue of requests that were sent ahead, whose entries are smaller than the requests.
@@ -119,8 +119,8 @@
     fn holds(&self, shortage: Shortage) -> bool {
         match shortage {
             Shortage::Connections => true,
-            Shortage::Memory => self.delivery.holds_memory(),
-            Shortage::Slots => self.delivery.holds_slot(),
+            Shortage::Memory => self.delivery.holds_memory() || self.requests.hold_memory(),
+            Shortage::Slots => self.delivery.holds_slot() || self.requests.hold_slot(),
         }
     }
 }
--- a/crates/relay/src/pipeline.rs
+++ b/crates/relay/src/pipeline.rs
@@ -194,10 +194,16 @@
         let (method, uri) = (parts.method.clone(), parts.uri.clone());
         let id = parts.headers.get(&self.node.header_names.request_id).cloned();
         let req = Request::from_parts(parts, Empty::<Bytes>::new());
+        let started = self.requests.start_early();
         let serving = ingress::serve_request(Rc::clone(&self.node), Rc::clone(&self.requests), req);
-        let task = tokio::task::spawn_local(serving);
+        let resources = started.resources();
+        let task = tokio::task::spawn_local(async move {
+            let rep = serving.await;
+            resources.replace(rep.body().resources());
+            rep
+        });
         self.started.notify_one();
-        Some(Box::new(EarlyRequest { method, uri, id, task, _started: self.requests.start_early() }))
+        Some(Box::new(EarlyRequest { method, uri, id, task, _started: started }))
     }
 
     fn is_repeatable(&self, parts: &Parts) -> bool {
