Start a test's unread downloads at once

Change: all downloads are started before any of them is waited for. What the test asserts is as before.

--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -313,9 +313,11 @@
         for n in 0..unread {
             let mut caller = connect_with_small_segments(fleet.daemons[0].callers).await;
             send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
-            caller.readable().await.expect("the beginning of the download");
             callers.push(caller);
         }
+        for caller in &callers {
+            caller.readable().await.expect("the beginning of the download");
+        }
         let runs = fleet.runs();
         let refused = fleet.daemons[0].send_raw(&get("further", "1.1", ""), "\r\n\r\n").await;
         assert!(refused.contains("body-memory"), "{refused}");
