Count connections by heads of 128 KB at most

Cause: a configuration with a very large maxHeaderBytes would have left room for one connection, or overflowed the product. Change: larger heads than the inspection reads are counted as 128 KB, so 65 MB hold at least 158 connections.

--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -27,12 +27,14 @@
 /// Heads of requests of the largest size that a connection may hold: one that is being parsed, its copy for the
 /// inspection, and the queue of requests that were sent ahead, whose entries are smaller than the requests.
 const HEADS_PER_CONNECTION: usize = 3;
+/// Largest head by which connections are counted. Larger ones are not inspected, and few are expected at a time.
+const MAX_COUNTED_HEAD_BYTES: usize = 128 * 1024;
 /// Memory in bytes that a connection takes beside heads and bodies.
 const CONNECTION_STATE_BYTES: usize = 16_000;
 
 /// Memory in bytes that a connection may take apart from bodies.
 pub(crate) fn connection_bytes(max_head_bytes: usize) -> usize {
-    HEADS_PER_CONNECTION * max_head_bytes + CONNECTION_STATE_BYTES
+    HEADS_PER_CONNECTION * max_head_bytes.min(MAX_COUNTED_HEAD_BYTES) + CONNECTION_STATE_BYTES
 }
 
 /// What a daemon has too little of, so that it closes a connection to make room.
