--- a/crates/relay/src/connection_limit.rs
+++ b/crates/relay/src/connection_limit.rs
@@ -1,10 +1,10 @@
 //! Bounds the connections that callers hold open, so that no crowd uses up the descriptors or memory of a daemon, and
 //! decides which connection is closed when something is short.
 //!
-//! A connection is closed only if it holds some of what is short, and only if that loses no request: a caller that reads
-//! slowly keeps its connection until its deadlines have passed, and what is new is refused instead. The exception is a
-//! new caller that doesn't read the answer to its first request, since a crowd of such callers would shut out all
-//! others.
+//! A connection is closed only if it holds some of what is short, and only if that loses no request that was passed on:
+//! a caller that reads slowly keeps its connection until its deadlines have passed, and what is new is refused instead.
+//! The exception is a new caller, one that has sent no request since it got an answer. If it reads nothing of its answers
+//! it makes room earlier, since a crowd of such callers would shut out all others.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -21,7 +21,7 @@
 use crate::caller_requests::CallerRequests;
 use crate::delivery::Delivery;
 
-/// Time without progress of its first answer after which a new caller's connection may be closed to make room.
+/// Time without progress of an answer after which a new caller's connection may be closed to make room.
 const UNREAD_AFTER: Duration = Duration::from_secs(3);
 
 /// Heads of requests of the largest size that a connection may hold: one that is being parsed, its copy for the
@@ -71,9 +71,9 @@
     GivenUp,
     /// A request whose body has not arrived whole, so that no server has it.
     Unfinished,
-    /// A new caller doesn't read its first answer, and no other request of it has been started.
+    /// A new caller doesn't read its answer, and no request behind it has been started.
     Unread,
-    /// A new caller doesn't read its first answer, and requests behind it have been started.
+    /// A new caller doesn't read its answer, and requests behind it have been started.
     UnreadPipeline,
 }
 
