--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -264,8 +264,7 @@
         }
         parts.version = hyper::Version::HTTP_11;
         if self.must_stream(&body) {
-            let bytes = body.size_hint().upper().unwrap_or(0).min(u64::from(STREAM_WINDOW_BYTES));
-            let memory = self.node.body_memory.reserve(bytes as usize);
+            let memory = self.node.body_memory.reserve(stated_bytes(&body).min(STREAM_WINDOW_BYTES as usize));
             let rep = Response::from_parts(parts, Body::relayed(body, memory, self.answer_until()));
             return AttemptOutcome::Answered(Box::new(rep));
         }
@@ -278,11 +277,11 @@
         }
     }
 
-    /// Whether an answer is too large to be buffered. Records the route if so. While requests behind another one have
-    /// been started on the connection, only the free memory limits the size: a streamed answer that breaks off would take
-    /// them along.
+    /// Whether an answer is too large to be buffered. Records the route if so. While requests behind another one
+    /// have been started on the connection, only the free memory limits the size: a streamed answer that breaks off
+    /// would take them along.
     fn must_stream(&self, body: &impl HttpBody) -> bool {
-        let is_too_large = body.size_hint().upper().is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64);
+        let is_too_large = stated_bytes(body) > MAX_BUFFERED_BYTES;
         if is_too_large {
             self.node.streamed_routes.borrow_mut().insert(self.handoff.route_hash);
         }
@@ -292,8 +291,7 @@
     /// Whether there is memory to buffer an answer of stated length. If there is none, the memory of an answer that its
     /// caller doesn't read is freed for the next one.
     fn has_memory_for(&self, body: &impl HttpBody) -> bool {
-        let bytes = usize::try_from(body.size_hint().upper().unwrap_or(0)).unwrap_or(usize::MAX);
-        let has_memory = self.node.body_memory.has_room(bytes);
+        let has_memory = self.node.body_memory.has_room(stated_bytes(body));
         if !has_memory {
             self.node.connections.evict(Shortage::Memory, Instant::now());
         }
@@ -305,8 +303,8 @@
     where
         B: HttpBody<Data = Bytes> + Unpin,
     {
-        let stated = body.size_hint().upper().map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-        buffer_in_memory(body, stated.max(MAX_BUFFERED_BYTES), &self.node.body_memory).await
+        let limit = stated_bytes(&body).max(MAX_BUFFERED_BYTES);
+        buffer_in_memory(body, limit, &self.node.body_memory).await
     }
 
     fn broken_answer(&self, e: &BufferError) -> AttemptOutcome {
@@ -321,6 +319,11 @@
     }
 }
 
+/// Length that an answer states for its body, in bytes; 0 without one.
+fn stated_bytes(body: &impl HttpBody) -> usize {
+    body.size_hint().upper().map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
 /// A request that has not run and never will.
 fn not_run(fate: Fate) -> AttemptOutcome {
     let reason = if fate == Fate::NeverCame { DeclineReason::Lost } else { DeclineReason::GivenUp };
--- a/crates/relay/src/ingress.rs
+++ b/crates/relay/src/ingress.rs
@@ -235,8 +235,13 @@
     if has_memory || !node.streamed_routes.borrow().contains(&route_hash(route)) {
         return Ok(());
     }
+    Err(memory_refusal(node))
+}
+
+/// Refusal of a request for want of memory. Makes room for the next one if a connection may be closed for that.
+fn memory_refusal(node: &Node) -> RequestRefusal {
     node.connections.evict(Shortage::Memory, Instant::now());
-    Err(RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER))
+    RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
 }
 
 /// Reads the body of a request into memory, until `deadline` at the latest.
@@ -253,10 +258,7 @@
     body.map_err(|_late| Refusal::DeadlineTooShort)?.map_err(|e| match e {
         BufferError::Broken => Refusal::BadRequest.into(),
         BufferError::TooLarge { .. } => Refusal::BodyTooLarge.into(),
-        BufferError::NoMemory => {
-            node.connections.evict(Shortage::Memory, Instant::now());
-            RequestRefusal::after(Refusal::BodyMemory, MIN_RETRY_AFTER)
-        }
+        BufferError::NoMemory => memory_refusal(node),
     })
 }
 
--- a/crates/relay/tests/large_bodies.rs
+++ b/crates/relay/tests/large_bodies.rs
@@ -20,11 +20,16 @@
 /// Pause after which an upload has stalled.
 const STALL: Duration = Duration::from_millis(1_200);
 
+/// Announces a body of [`BODY_BYTES`] bytes and sends half of it.
 async fn start_upload(daemon: &Daemon, id: &str) -> TcpStream {
+    send_part(daemon, id, BODY_BYTES / 2).await
+}
+
+/// Announces a body of [`BODY_BYTES`] bytes and sends `sent` of them.
+async fn send_part(daemon: &Daemon, id: &str, sent: usize) -> TcpStream {
     let mut caller = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
-    let body = "x".repeat(BODY_BYTES);
-    let req = request("POST", "/order/a", id, &body);
-    let (begun, _) = req.split_at(req.len() - BODY_BYTES / 2);
+    let req = request("POST", "/order/a", id, &"x".repeat(BODY_BYTES));
+    let (begun, _) = req.split_at(req.len() - BODY_BYTES + sent);
     caller.write_all(begun.as_bytes()).await.expect("the daemon reads");
     caller
 }
@@ -93,15 +98,6 @@
     });
 }
 
-/// Announces a body of [`BODY_BYTES`] bytes and sends ten of them.
-async fn announce_upload(daemon: &Daemon, id: &str) -> TcpStream {
-    let mut caller = TcpStream::connect(daemon.callers).await.expect("the daemon listens");
-    let req = request("POST", "/order/a", id, &"x".repeat(BODY_BYTES));
-    let (begun, _) = req.split_at(req.len() - BODY_BYTES + 10);
-    caller.write_all(begun.as_bytes()).await.expect("the daemon reads");
-    caller
-}
-
 // Guards against callers that announce bodies and don't send them, and so shut out all requests with a body (second
 // review, starve).
 #[test]
@@ -109,7 +105,7 @@
     on_one_thread(async {
         let fleet = fleet(&[&[Act::Answer]], conf).await;
         let daemon = &fleet.daemons[0];
-        let mut silent = [announce_upload(daemon, "r1").await, announce_upload(daemon, "r2").await];
+        let mut silent = [send_part(daemon, "r1", 10).await, send_part(daemon, "r2", 10).await];
         sleep(STALL).await;
         let third = start_upload(daemon, "r3").await;
         assert_eq!(finish_upload(third).await, 200);
@@ -126,7 +122,7 @@
     on_one_thread(async {
         let fleet = fleet(&[&[Act::Answer]], conf).await;
         let daemon = &fleet.daemons[0];
-        let mut silent = announce_upload(daemon, "r1").await;
+        let mut silent = send_part(daemon, "r1", 10).await;
         sleep(STALL).await;
         let others = [start_upload(daemon, "r2").await, start_upload(daemon, "r3").await];
         sleep(Duration::from_millis(100)).await;
--- a/crates/relay/tests/short_of_room.rs
+++ b/crates/relay/tests/short_of_room.rs
@@ -80,6 +80,18 @@
     last
 }
 
+/// Takes the memory for bodies with the downloads of slow callers that have sent requests behind.
+async fn fill_memory(daemon: &Daemon) -> Vec<TcpStream> {
+    let mut callers = Vec::new();
+    for n in 0..BODY_MEMORY_BYTES / DOWNLOAD_BYTES {
+        let name = format!("slow{n}");
+        let mut slow = start_download(daemon, &name, DOWNLOAD_BYTES).await;
+        send_behind(&mut slow, daemon, &name).await;
+        callers.push(slow);
+    }
+    callers
+}
+
 /// Takes all slots of the server with requests that it does not answer.
 async fn fill_slots(daemon: &Daemon) -> [TcpStream; 2] {
     daemon.backend.acts.replace(vec![Act::Hang]);
@@ -144,13 +156,7 @@
     on_one_thread(async {
         let fleet = fleet(&[&[Act::Answer]], long_timeout_conf).await;
         let daemon = &fleet.daemons[0];
-        let mut callers = Vec::new();
-        for n in 0..BODY_MEMORY_BYTES / DOWNLOAD_BYTES {
-            let name = format!("slow{n}");
-            let mut slow = start_download(daemon, &name, DOWNLOAD_BYTES).await;
-            send_behind(&mut slow, daemon, &name).await;
-            callers.push(slow);
-        }
+        let mut callers = fill_memory(daemon).await;
         let upload = request("POST", "/order/a", "upload", &"x".repeat(DOWNLOAD_BYTES));
         let refused =
             press(Instant::now() + PAUSE, async |_| daemon.send_raw(&upload, "\r\n\r\n").await).await;
@@ -168,13 +174,7 @@
     on_one_thread(async {
         let fleet = fleet(&[&[Act::Answer]], long_timeout_conf).await;
         let daemon = &fleet.daemons[0];
-        let mut callers = Vec::new();
-        for n in 0..BODY_MEMORY_BYTES / DOWNLOAD_BYTES {
-            let name = format!("slow{n}");
-            let mut slow = start_download(daemon, &name, DOWNLOAD_BYTES).await;
-            send_behind(&mut slow, daemon, &name).await;
-            callers.push(slow);
-        }
+        let mut callers = fill_memory(daemon).await;
         daemon.backend.acts.replace(vec![Act::Large(DOWNLOAD_BYTES, 0)]);
         press(Instant::now() + PAUSE, async |n| {
             let mut fast = connect(daemon).await;
--- a/crates/relay/tests/slow_callers.rs
+++ b/crates/relay/tests/slow_callers.rs
@@ -280,6 +280,20 @@
 /// Downloads that take up more than the flow control window of a connection between two daemons.
 const UNREAD_DOWNLOADS: usize = 6;
 
+/// Callers whose downloads have begun and are not read.
+async fn leave_unread(daemon: &Daemon, downloads: usize) -> Vec<TcpStream> {
+    let mut callers = Vec::new();
+    for n in 0..downloads {
+        let mut caller = connect_with_small_segments(daemon.callers).await;
+        send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
+        callers.push(caller);
+    }
+    for caller in &callers {
+        caller.readable().await.expect("the beginning of the download");
+    }
+    callers
+}
+
 // Guards against answers that are held up between two daemons by the downloads of callers that read nothing.
 #[test]
 fn unread_downloads_do_not_hold_up_other_answers_of_the_same_daemon() {
@@ -287,13 +301,7 @@
         let fleet = AnswerPath::StreamedRemote.fleet(long_timeout_conf).await;
         fleet.daemons[1].offer_slots(2, 2 * UNREAD_DOWNLOADS as u16);
         sleep(BUFFERS_FULL_AFTER).await;
-        let mut callers = Vec::new();
-        for n in 0..UNREAD_DOWNLOADS {
-            let mut caller = connect_with_small_segments(fleet.daemons[0].callers).await;
-            send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
-            caller.readable().await.expect("the beginning of the download");
-            callers.push(caller);
-        }
+        let _callers = leave_unread(&fleet.daemons[0], UNREAD_DOWNLOADS).await;
         sleep(BUFFERS_FULL_AFTER).await;
         fleet.daemons[1].backend.acts.replace(vec![Act::Answer]);
         let rep = fleet.daemons[0].send_raw(&get("other", "1.1", "x-deadline-ms: 3000\r\n"), "whole").await;
@@ -309,15 +317,7 @@
         let unread = BODY_MEMORY_BYTES / STREAM_WINDOW_BYTES;
         fleet.daemons[1].offer_slots(2, 2 * unread as u16);
         sleep(BUFFERS_FULL_AFTER).await;
-        let mut callers = Vec::new();
-        for n in 0..unread {
-            let mut caller = connect_with_small_segments(fleet.daemons[0].callers).await;
-            send(&mut caller, &get(&format!("unread-{n}"), "1.1", "")).await;
-            callers.push(caller);
-        }
-        for caller in &callers {
-            caller.readable().await.expect("the beginning of the download");
-        }
+        let mut callers = leave_unread(&fleet.daemons[0], unread).await;
         let runs = fleet.runs();
         let refused = fleet.daemons[0].send_raw(&get("further", "1.1", ""), "\r\n\r\n").await;
         assert!(refused.contains("body-memory"), "{refused}");
--- a/crates/relay/tests/slow_uploads.rs
+++ b/crates/relay/tests/slow_uploads.rs
@@ -25,15 +25,16 @@
 }
 
 /// Changes the configuration, waits until it is in force, sends the end of the order and returns the answer.
-async fn change_and_finish(
-    fleet: &Fleet,
-    mut caller: TcpStream,
-    change: fn(&KeyHasher) -> Snapshot,
-) -> String {
+async fn change_and_finish(fleet: &Fleet, caller: TcpStream, change: fn(&KeyHasher) -> Snapshot) -> String {
     let daemon = &fleet.daemons[0];
     eventually(|| daemon.node.active_requests() == 1).await;
     fleet.source.make_snapshot.set(change);
     eventually(|| daemon.node.conf_version() == 2).await;
+    finish_upload(caller).await
+}
+
+/// Sends the end of the order and returns the answer.
+async fn finish_upload(mut caller: TcpStream) -> String {
     let (_, end) = BODY.split_at(BODY.len() - LATE_BYTES);
     caller.write_all(end.as_bytes()).await.expect("the daemon reads");
     read_until(&mut caller, "\r\n\r\n").await
@@ -94,12 +95,11 @@
     on_one_thread(async {
         let fleet = fleet(&[&[Act::Answer]], conf).await;
         let daemon = &fleet.daemons[0];
-        let mut caller = start_upload(daemon).await;
+        let caller = start_upload(daemon).await;
         eventually(|| daemon.node.active_requests() == 1).await;
         fleet.source.is_up.set(false);
         eventually(|| !daemon.node.is_conf_fresh()).await;
-        caller.write_all(&BODY.as_bytes()[BODY.len() - LATE_BYTES..]).await.expect("the daemon reads");
-        let rep = read_until(&mut caller, "\r\n\r\n").await;
+        let rep = finish_upload(caller).await;
         assert_eq!((status(&rep), fleet.runs()), (503, 0), "{rep}");
     });
 }
