Play the crowd of review/13 with few threads, and write the operators' configuration sooner in review/11

Change: 40 threads hold the 800 connections; the configuration is written again 3 s after the restore, not 4 s.

--- a/review/stand-3/crowd.rs
+++ b/review/stand-3/crowd.rs
@@ -16,14 +16,18 @@
 
 /// Callers of the crowd.
 const CROWD: usize = 800;
-/// Time between two of them.
-const CROWD_INTERVAL: Duration = Duration::from_millis(8);
+/// Threads that play the crowd, each some of the callers one after the other.
+const THREADS: usize = 40;
+/// Time between two callers of a thread.
+const CALLER_INTERVAL: Duration = Duration::from_millis(320);
 /// What each asks for: 500 kB, without a stated length. The site file allows 540 kB.
 const DOWNLOAD: &str = "/label/2f?work=250&bytes=500000&frame=none";
 /// Receive buffer of a caller of the crowd, in bytes.
 const NARROW_BYTES: i32 = 4_096;
-/// Time for which a caller of the crowd reads nothing.
-const UNREAD: Duration = Duration::from_secs(10);
+/// Longest time for which a caller of the crowd waits for an answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which the last callers of the crowd read nothing; the first ones wait for the whole run.
+const UNREAD: Duration = Duration::from_secs(3);
 /// Delay after which the platform starts an ended process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// More lost requests than this break the rule.
@@ -88,16 +92,15 @@
     let (own_watch, record) = (Arc::clone(&watch), Arc::clone(&case.record));
     let watching = thread::spawn(move || own_watch.run(&crowded, &record));
     let mut crowd = Vec::new();
-    for _ in 0..CROWD {
+    for _ in 0..THREADS {
         let (has_trouble, record) = (case.has_trouble, Arc::clone(&case.record));
-        crowd.push(thread::spawn(move || crowd_caller(door, has_trouble, &record)));
-        thread::sleep(CROWD_INTERVAL);
+        crowd.push(thread::spawn(move || crowd_callers(door, has_trouble, &record)));
+        thread::sleep(CALLER_INTERVAL / THREADS as u32);
     }
-    thread::sleep(Duration::from_secs(3));
+    let outcomes: Vec<String> = crowd.into_iter().filter_map(|callers| callers.join().ok()).flatten().collect();
     let sent = load.finish();
     watch.is_over.store(true, Ordering::Relaxed);
     let _ = watching.join();
-    let outcomes: Vec<String> = crowd.into_iter().filter_map(|caller| caller.join().ok()).collect();
     let count = |outcome: &str| outcomes.iter().filter(|o| *o == outcome).count();
     case.record.say(&format!(
         "crowd of {CROWD}: {} read nothing of the download, {} read it whole",
@@ -123,24 +126,41 @@
     Ok(if !killed_at.is_empty() && lost.len() > ALLOWED_LOST { Verdict::Broken } else { Verdict::Held })
 }
 
-/// One caller of the crowd; returns how far it came.
-fn crowd_caller(door: SocketAddrV4, is_slow: bool, record: &Record) -> String {
-    let run = || -> io::Result<&'static str> {
-        let mut stream = if is_slow { http::connect_narrow(door, NARROW_BYTES)? } else { TcpStream::connect(door)? };
-        stream.set_read_timeout(Some(UNREAD))?;
-        let mut reader = BufReader::with_capacity(512, stream.try_clone()?);
-        stream.write_all((fleet::request("GET", "/peek/2f?work=20", &new_id(), 8_000) + "\r\n").as_bytes())?;
-        http::read_answer(&mut reader)?;
-        let id = new_id();
-        record.line(&format!("crowd {id} GET {DOWNLOAD}"));
-        stream.write_all((fleet::request("GET", DOWNLOAD, &id, 8_000) + "\r\n").as_bytes())?;
-        if is_slow {
-            thread::sleep(UNREAD);
-            return Ok("unread");
-        }
-        let answer = http::read_answer(&mut reader)?;
-        record.line(&format!("crowd {id}: {}, {} bytes", answer.status(), answer.body.len()));
-        Ok(if answer.status() == 200 && answer.is_whole { "whole" } else { "other" })
-    };
-    run().map_or_else(|e| e.to_string(), str::to_owned)
+/// Some callers of the crowd; returns how far each came.
+fn crowd_callers(door: SocketAddrV4, is_slow: bool, record: &Record) -> Vec<String> {
+    let mut unread = Vec::new();
+    let mut outcomes = Vec::new();
+    for _ in 0..CROWD / THREADS {
+        let next_at = Instant::now() + CALLER_INTERVAL;
+        let outcome = match crowd_caller(door, is_slow, record) {
+            Ok(Some(stream)) => {
+                unread.push(stream);
+                "unread".to_owned()
+            }
+            Ok(None) => "whole".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        outcomes.push(outcome);
+        thread::sleep(next_at.saturating_duration_since(Instant::now()));
+    }
+    thread::sleep(UNREAD);
+    outcomes
+}
+
+/// One caller of the crowd. If it is slow, returns its connection, on which an answer is unread.
+fn crowd_caller(door: SocketAddrV4, is_slow: bool, record: &Record) -> io::Result<Option<TcpStream>> {
+    let mut stream = if is_slow { http::connect_narrow(door, NARROW_BYTES)? } else { TcpStream::connect(door)? };
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    let mut reader = BufReader::with_capacity(512, stream.try_clone()?);
+    stream.write_all((fleet::request("GET", "/peek/2f?work=20", &new_id(), 8_000) + "\r\n").as_bytes())?;
+    http::read_answer(&mut reader)?;
+    let id = new_id();
+    record.line(&format!("crowd {id} GET {DOWNLOAD}"));
+    stream.write_all((fleet::request("GET", DOWNLOAD, &id, 8_000) + "\r\n").as_bytes())?;
+    if is_slow {
+        return Ok(Some(stream));
+    }
+    let answer = http::read_answer(&mut reader)?;
+    record.line(&format!("crowd {id}: {}, {} bytes", answer.status(), answer.body.len()));
+    if answer.status() == 200 && answer.is_whole { Ok(None) } else { Err(io::Error::other("not served")) }
 }
--- a/review/stand-3/restored.rs
+++ b/review/stand-3/restored.rs
@@ -20,7 +20,7 @@
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(300);
 /// Time from the restore until the operator has written its configuration again.
-const REWRITE_AFTER: Duration = Duration::from_secs(4);
+const REWRITE_AFTER: Duration = Duration::from_secs(3);
 /// Callers of each daemon that use the withdrawn key.
 const CALLERS: usize = 2;
 /// Delays after which the three killed daemons are started again.
--- a/review/stand-3/room.rs
+++ b/review/stand-3/room.rs
@@ -1,7 +1,8 @@
 //! Case: a crowd that reads nothing of its answers takes all connections of a daemon.
 
+use std::collections::VecDeque;
 use std::io::{self, BufReader, Write};
-use std::net::SocketAddrV4;
+use std::net::{SocketAddrV4, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,6 +16,10 @@
 
 /// Callers of the crowd.
 const CROWD: usize = 1_050;
+/// Threads that play the crowd, each some of the callers.
+const THREADS: usize = 50;
+/// Time for which a caller of the crowd keeps its connection.
+const KEEP: Duration = Duration::from_secs(11);
 /// What each asks for.
 const DOWNLOAD: &str = "/label/2f?work=150&bytes=120000";
 /// New callers that try at the same time; the rule counts from seven.
@@ -57,15 +62,18 @@
     }
     let crowd_over = Arc::clone(&is_over);
     if case.has_trouble {
-        for _ in 0..CROWD {
+        for _ in 0..THREADS {
             let (is_over, record) = (Arc::clone(&crowd_over), Arc::clone(&case.record));
             tasks.push(thread::spawn(move || {
+                let mut open: VecDeque<(Instant, TcpStream)> = VecDeque::new();
                 while !is_over.load(Ordering::Relaxed) {
-                    let _ = crowd_caller(door, &is_over, &record);
-                    thread::sleep(Duration::from_millis(100));
+                    open.retain(|(at, _)| at.elapsed() < KEEP);
+                    if open.len() < CROWD / THREADS {
+                        open.extend(crowd_caller(door, &record).map(|stream| (Instant::now(), stream)));
+                    }
+                    thread::sleep(Duration::from_millis(50));
                 }
             }));
-            thread::sleep(Duration::from_millis(4));
         }
     }
     let mut not_ready = 0;
@@ -93,8 +101,8 @@
     Ok(if gap > CONTACT && not_ready == 0 { Verdict::Broken } else { Verdict::Held })
 }
 
-/// Reads one small answer, asks for a larger one, and then reads nothing until the daemon closes.
-fn crowd_caller(door: SocketAddrV4, is_over: &AtomicBool, record: &Record) -> io::Result<()> {
+/// Reads one small answer and asks for a larger one, of which nothing is read.
+fn crowd_caller(door: SocketAddrV4, record: &Record) -> io::Result<TcpStream> {
     let mut stream = http::connect_narrow(door, NARROW_BYTES)?;
     stream.set_read_timeout(Some(Duration::from_secs(9)))?;
     let mut reader = BufReader::with_capacity(512, stream.try_clone()?);
@@ -103,9 +111,5 @@
     let id = new_id();
     record.line(&format!("crowd {id} GET {DOWNLOAD}"));
     stream.write_all((fleet::request("GET", DOWNLOAD, &id, 8_000) + "\r\n").as_bytes())?;
-    let until = Instant::now() + Duration::from_secs(11);
-    while !is_over.load(Ordering::Relaxed) && Instant::now() < until {
-        thread::sleep(Duration::from_millis(200));
-    }
-    Ok(())
+    Ok(stream)
 }
