--- a/review/stand-3/leave.rs
+++ b/review/stand-3/leave.rs
@@ -88,6 +88,76 @@
     Ok(if in_touch > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// Age of the copy from which the store comes back.
+const COPY_AGE: Duration = Duration::from_millis(3_000);
+/// Time for which the store is away before that.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// A server's leaving is acknowledged and stored. Then the store comes back from an older copy, and the daemon that has
+/// acknowledged is killed while the store is away.
+pub fn taken_back(dir: &Path) -> io::Result<Verdict> {
+    let case = Case::new(dir)?;
+    case.store.put("op", "config", &fleet::config(7));
+    let places = [("paraiso", "meseta"), ("barva", "meseta"), ("canas", "guanacaste"), ("santa-cruz", "guanacaste")];
+    let mut machines = Vec::new();
+    for (n, place) in places.into_iter().enumerate() {
+        machines.push(Machine::new(&case.net, 10 + n as u8, place, "sacristia", &case.temp)?);
+    }
+    case.start_all(&machines)?;
+    let mut servers = Vec::new();
+    for (n, machine) in machines.iter().enumerate() {
+        servers.push(Server::start(machine, &format!("i-{n:08x}"), 5, &case.record)?);
+    }
+    thread::sleep(Duration::from_secs(5));
+    let mut load = Load::new();
+    for machine in &machines {
+        load.add(3, machine.addr(OUTBOUND_PORT), "POST", "/order/2f?work=200", 5_000, &case.record);
+    }
+    thread::sleep(Duration::from_secs(2));
+
+    case.store.make_copy();
+    let copied_at = Instant::now();
+    thread::sleep(Duration::from_millis(500));
+    let leaving = Arc::clone(&servers[0]);
+    leaving.stop_beats();
+    let late_beat = leaving.next_beat("ready");
+    let asked_at = Instant::now();
+    let status = leaving.delete();
+    let acked_at = Instant::now();
+    case.record.say(&format!("DELETE of {}: {status} after {:?}", leaving.id, acked_at - asked_at));
+    if status != 200 {
+        return Err(io::Error::other("the leaving was not acknowledged"));
+    }
+    case.record.say(&format!("rows that the daemons wrote for it: {:?}", case.store.written_since(asked_at)));
+    thread::sleep(COPY_AGE.saturating_sub(copied_at.elapsed()));
+    if case.has_trouble {
+        case.record.line(&format!("the store is away; SIGKILL {}", machines[0].name));
+        case.store.set_mode(Mode::Busy);
+        machines[0].kill();
+        thread::sleep(AWAY);
+        case.store.restore();
+        case.store.set_mode(Mode::Sound);
+        case.record.line("the store is back from its copy");
+        thread::sleep(Duration::from_millis(200));
+        machines[0].start()?;
+    } else {
+        thread::sleep(AWAY);
+    }
+    let stable_at = Instant::now() + CONTACT;
+    thread::sleep(Duration::from_millis(1_500));
+    case.record.line(&format!("late heartbeat: {}", leaving.send(&late_beat)));
+    thread::sleep(SERVES_ON.saturating_sub(acked_at.elapsed()));
+    let sent = load.finish();
+    let runs = leaving.runs.lock().unwrap().clone();
+    let late: Vec<_> = runs.iter().filter(|run| run.began > acked_at + DRAIN).collect();
+    let in_touch = late.iter().filter(|run| sent.iter().any(|s| s.id == run.id && s.at >= stable_at)).count();
+    case.record.say(&format!(
+        "{} requests reached {} later than {DRAIN:?} after its leaving was acknowledged, the last after {:?}; {in_touch} of them were sent when all machines were in touch again",
+        late.len(), leaving.id, late.last().map(|run| run.began - acked_at),
+    ));
+    Ok(if in_touch > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
 /// Time for which the store turns the machine away; the site file has 9 s.
 const TURNED_AWAY: Duration = Duration::from_secs(9);
 
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -38,6 +38,8 @@
         "forgot" => leave::forgot(dir),
         "restored" => restored::restored(dir),
         "paused" => paused::paused(dir),
+        "taken-back" => leave::taken_back(dir),
+        "streamed" => paused::streamed(dir),
         "heads" => heads::heads(dir),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/stand-3/server.rs
+++ b/review/stand-3/server.rs
@@ -1,7 +1,8 @@
 //! Stand-in of a server beside a daemon. It behaves as the pages say of a sound server.
 //!
 //! The query of a request says what it costs: `work` in milliseconds, `bytes` of the answer's body, and `frame`: `len`
-//! for a stated length (the default), `none` for an answer that ends with its connection, `head` bytes of extra head.
+//! for a stated length (the default), `none` for an answer that ends with its connection. With `cut` it breaks off in
+//! the middle of the body, as a faulty server does.
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddrV4, TcpListener, TcpStream};
@@ -15,6 +16,8 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_QUEUED: usize = 52;
+/// Time after half of an answer at which a faulty server breaks it off.
+const BEFORE_CUT: Duration = Duration::from_millis(200);
 /// Time after which a server cuts off an answer that nobody reads.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -178,15 +181,17 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: {}.{id}\r\nServer-Load: {load}\r\n",
             self.id
         );
-        if let Some(bytes) = number("head") {
-            head += &format!("Set-Cookie: {}\r\n", "c".repeat(bytes));
-        }
         head += &if is_unframed {
             "Connection: close\r\n\r\n".to_owned()
         } else {
             format!("Keep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n", body.len())
         };
         writer.write_all(head.as_bytes())?;
+        if number("cut").is_some() {
+            writer.write_all(&body[..body.len() / 2])?;
+            thread::sleep(BEFORE_CUT);
+            return Ok(false);
+        }
         writer.write_all(&body)?;
         if let Some(run) = self.runs.lock().unwrap().iter_mut().find(|run| run.id == id) {
             run.answered = Some(Instant::now());
