Show that a restore takes a departure back, in place of the case of an outage

Cause: the second review already shows a departure that is acknowledged in an outage (entry 21, its script outage). A departure that a restore of the store takes back is entry 24, which nobody had shown: only the daemons of its data centre remember it. Change: review/14 is the case of entry 24. The script of the former case stays as target/review-3/stand leave.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,4 +6,4 @@
     echo "build the deploy file and run review/build-3.sh first" >&2
     exit 2
 fi
-exec target/review-3/stand leave review/14
+exec target/review-3/stand taken-back review/14
